Serve the platform's callers and log servers on real sockets

IOStream has no gathered write: sendmsg takes the parts on an idle stream, and only what the socket leaves goes through the stream's own buffer (net/streams.py).

Fail now carries the wait that Refuse had, as a call given up on must be told when to come back; the simulator's wire has no room for it.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# Tasks of the project. VENV may name another virtual environment.
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+CHECKED = quincestand mallowquay tests
+
+.PHONY: build dev lint test run
+
+build:
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip -q install -r requirements.txt
+
+dev: build
+	$(VENV)/bin/pip -q install -r requirements-dev.txt
+
+lint:
+	$(VENV)/bin/ruff check --select E,F,W $(CHECKED)
+	$(VENV)/bin/mypy
+
+test:
+	$(PYTHON) -m pytest -q tests
+
+run:
+	exec $(PYTHON) -m mallowquay
--- /dev/null
+++ b/mallowquay/__init__.py
@@ -0,0 +1,1 @@
+"""mallowquay: the gatekeeper that carries out the decisions of quincestand on real sockets."""
--- /dev/null
+++ b/mallowquay/core/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, attempts and their endings; knows no wire and no sockets."""
--- /dev/null
+++ b/mallowquay/core/calls.py
@@ -0,0 +1,335 @@
+"""The state machine of a call, shared by all fronts: one final answer, one attempt out at a time."""
+
+from __future__ import annotations
+
+import heapq
+import logging
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum
+from itertools import count
+from typing import Protocol
+
+from .decisions import Decisions
+from .model import (
+    Attempt,
+    CallerLeft,
+    Clock,
+    Decision,
+    Decline,
+    Dispatch,
+    Ended,
+    Ending,
+    FinalAnswer,
+    ListTold,
+    Load,
+    LoadTold,
+    Request,
+    Stood,
+    Verdict,
+    Withdraw,
+)
+
+log = logging.getLogger(__name__)
+
+Job = Callable[[], list[Decision]]
+
+
+class CallState(Enum):
+    """Where a call stands in its life."""
+
+    WAITING = "no attempt out"
+    TRYING = "an attempt is out"
+    STANDING = "answered; it stands"
+    OVER = "nothing is owed any more"
+
+
+class Caller(Protocol):
+    """A front's side of one call."""
+
+    def answer(self, call: Call, answer: FinalAnswer) -> None:
+        """Give the one final answer."""
+
+    def release(self, call: Call, ending: Ending) -> None:
+        """Tell the caller that a standing call is over."""
+
+
+class ServerSide(Protocol):
+    """Carries attempts to log servers; it reports through Calls.stood and Calls.ended."""
+
+    def start(self, attempt: Attempt) -> None:
+        """Send the set-up."""
+
+    def withdraw(self, attempt: Attempt) -> None:
+        """Give the set-up up; nothing more is heard of it."""
+
+    def release(self, attempt: Attempt, cause: int) -> None:
+        """Release the call that stands by this attempt."""
+
+
+class Call:
+    """One call from its set-up to its end."""
+
+    def __init__(self, request: Request, caller: Caller) -> None:
+        self.request, self.caller = request, caller
+        self.state = CallState.WAITING
+        self.attempt: Attempt | None = None  # the one that is out or stands
+        self.not_before = request.taken_at  # no attempt sooner: the release wait
+        self.lost_time = False  # the last attempt got no answer in time
+
+
+class Calls:
+    """All calls of this gatekeeper."""
+
+    def __init__(
+        self,
+        decisions: Decisions,
+        clock: Clock,
+        release_wait: timedelta,
+        answer_margin: timedelta,
+        default_gap: timedelta,
+    ) -> None:
+        self._decisions, self._clock = decisions, clock
+        self._release_wait, self._margin, self._gap = release_wait, answer_margin, default_gap
+        self._servers: ServerSide | None = None
+        self._calls: dict[str, Call] = {}
+        self._due: list[tuple[timedelta, int, Callable[[], None]]] = []
+        self._order = count()
+        self._jobs: deque[Job] = deque()
+        self._running = False
+        self.unanswered = 0
+        self.last_offer = clock()
+        self.wake: Callable[[], None] = lambda: None  # told when the next due time may have changed
+
+    def attach(self, servers: ServerSide) -> None:
+        """Name the side that carries attempts."""
+        self._servers = servers
+
+    def get(self, request_id: str) -> Call | None:
+        """The call of this id, while anything is open or stands."""
+        return self._calls.get(request_id)
+
+    def standing_at(self, server: str) -> list[Call]:
+        """The calls that stand at this log server."""
+        return [c for c in self._calls.values() if _stands_at(c, server)]
+
+    # --- from the fronts
+
+    def offer(self, request: Request, caller: Caller) -> Call:
+        """Take a call: from here on it is owed one final answer. An id still open joins its call."""
+        known = self._calls.get(request.id)
+        if known is not None:
+            return known
+        call = self._calls[request.id] = Call(request, caller)
+        self.unanswered += 1
+        self.last_offer = self._clock()
+        # Guards the one answer should the module stay silent; its own end margin comes sooner.
+        self._at(request.deadline - self._margin, lambda: self._overdue(call))
+        self._do(lambda: _as_list(self._decisions.pick(request)))
+        return call
+
+    def caller_left(self, request_id: str) -> bool:
+        """The caller gives the set-up up; True if the call had no final answer yet."""
+        call = self._calls.get(request_id)
+        if call is None or call.state in (CallState.STANDING, CallState.OVER):
+            return False
+        attempt = call.attempt
+        self._finish(call, FinalAnswer(Verdict.CANCELLED))
+        self._do(lambda: self._decisions.report(CallerLeft(request_id)))
+        if attempt is not None:
+            self._side.withdraw(attempt)
+            self._do(lambda: self._decisions.report(Ended(attempt, Ending.CALLER_LEFT, closed=True)))
+        else:
+            self._do(lambda: self._dropped(request_id))
+        return True
+
+    def caller_released(self, request_id: str, cause: int) -> bool:
+        """The caller ends a standing call; False if none stands."""
+        call = self._calls.get(request_id)
+        if call is None or call.state is not CallState.STANDING:
+            return False
+        attempt = self._over(call)
+        self._side.release(attempt, cause)
+        self._do(lambda: self._decisions.report(Ended(attempt, Ending.CALLER_LEFT, closed=True)))
+        return True
+
+    # --- from the servers' side
+
+    def stood(self, attempt: Attempt, description: str, load: Load | None = None) -> bool:
+        """The log server answered; False if the attempt is no longer out."""
+        call = self._calls.get(attempt.request.id)
+        if call is None or call.attempt is not attempt or call.state is not CallState.TRYING:
+            return False
+        call.state = CallState.STANDING
+        self.unanswered -= 1
+        self._do(lambda: self._decisions.report(Stood(attempt)))
+        if load:
+            self._do(lambda: self._decisions.report(LoadTold(attempt.server, load)))
+        call.caller.answer(call, FinalAnswer(Verdict.STANDS, description))
+        return True
+
+    def ended(self, attempt: Attempt, ending: Ending, load: Load | None = None) -> bool:
+        """An attempt that is out failed, or the call that it set up is over; False if neither."""
+        call = self._calls.get(attempt.request.id)
+        if call is None or call.attempt is not attempt:
+            return False
+        if call.state is CallState.STANDING:
+            self._over(call)
+            self._do(lambda: self._decisions.report(Ended(attempt, ending, True, load or {})))
+            call.caller.release(call, ending)
+            return True
+        call.attempt, call.state = None, CallState.WAITING
+        call.lost_time = ending is Ending.TIMED_OUT
+        if ending not in PROVEN_NOT_RUN:
+            call.not_before = self._clock() + self._release_wait
+        self._do(lambda: self._decisions.report(Ended(attempt, ending, False, load or {})))
+        return True
+
+    def load_told(self, server: str, load: Load) -> None:
+        """Unasked word of a server's load."""
+        self._do(lambda: self._decisions.report(LoadTold(server, load)))
+
+    def list_told(self, told: ListTold) -> None:
+        """The server list, or changes to it."""
+        self._do(lambda: self._decisions.report(told))
+
+    # --- time
+
+    def next_due(self) -> timedelta | None:
+        """When tick is to be called next."""
+        times = [self._due[0][0]] if self._due else []
+        tick = self._decisions.next_tick()
+        return min(times + ([tick] if tick is not None else []), default=None)
+
+    def tick(self) -> None:
+        """Carry out what is due."""
+        now = self._clock()
+        while self._due and self._due[0][0] <= now:
+            heapq.heappop(self._due)[2]()
+        self._do(lambda: self._decisions.tick(self._clock()))
+
+    def _at(self, due: timedelta, job: Callable[[], None]) -> None:
+        heapq.heappush(self._due, (due, next(self._order), job))
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        call = self._calls.get(attempt.request.id)
+        if call is not None and call.attempt is attempt and call.state is CallState.TRYING:
+            self._side.withdraw(attempt)
+            self.ended(attempt, Ending.TIMED_OUT)
+
+    def _overdue(self, call: Call) -> None:
+        if call.state not in (CallState.WAITING, CallState.TRYING):
+            return
+        log.warning("call %s found no decision before its end", call.request.id)
+        attempt = call.attempt
+        self._finish(call, FinalAnswer(Verdict.FAILED, retry_after=self._gap, timed_out=True))
+        self._do(lambda: self._decisions.report(CallerLeft(call.request.id)))
+        if attempt is not None:
+            self._side.withdraw(attempt)
+            self._do(lambda: self._decisions.report(Ended(attempt, Ending.TIMED_OUT, closed=True)))
+        else:
+            self._do(lambda: self._dropped(call.request.id))
+
+    # --- carrying out decisions
+
+    @property
+    def _side(self) -> ServerSide:
+        assert self._servers is not None, "no side for servers is attached"
+        return self._servers
+
+    def _do(self, job: Job) -> None:
+        """Run jobs in order of arrival; what a decision causes waits until the decision is carried out."""
+        self._jobs.append(job)
+        if self._running:
+            return
+        self._running = True
+        try:
+            while self._jobs:
+                for decision in self._jobs.popleft()():
+                    self._carry_out(decision)
+        finally:
+            self._running = False
+        self.wake()
+
+    def _carry_out(self, decision: Decision) -> None:
+        call = self._calls.get(decision.request_id)
+        if call is None:
+            return
+        match decision:
+            case Dispatch():
+                self._dispatch(call, decision)
+            case Decline(_, retry_after, failed):
+                self._decline(call, retry_after, failed)
+            case Withdraw(_, index):
+                attempt = call.attempt
+                if attempt is not None and attempt.index == index and call.state is CallState.TRYING:
+                    self._side.withdraw(attempt)
+                    self.ended(attempt, Ending.WITHDRAWN)
+
+    def _dispatch(self, call: Call, decision: Dispatch) -> None:
+        now = self._clock()
+        attempt = Attempt(call.request, decision.index, decision.server, now, decision.wait)
+        if call.state is not CallState.WAITING:  # never two attempts out, whatever was decided
+            log.error("call %s: an attempt was asked for in state %s", call.request.id, call.state.value)
+            self._do(lambda: self._decisions.report(Ended(attempt, Ending.MOOT, closed=False)))
+            return
+        call.attempt, call.state = attempt, CallState.TRYING
+        self._at(now + decision.wait, lambda: self._timed_out(attempt))
+        if now < call.not_before:  # never before the release wait is over
+            self._at(call.not_before, lambda: self._start(call, attempt))
+        else:
+            self._start(call, attempt)
+
+    def _start(self, call: Call, attempt: Attempt) -> None:
+        if call.attempt is attempt and call.state is CallState.TRYING:
+            self._side.start(attempt)
+
+    def _decline(self, call: Call, retry_after: timedelta, failed: bool) -> None:
+        if call.state is not CallState.WAITING:
+            return
+        verdict = Verdict.FAILED if failed else Verdict.REFUSED
+        gap = retry_after or self._gap
+        self._finish(call, FinalAnswer(verdict, retry_after=gap, timed_out=call.lost_time))
+        self._do(lambda: self._dropped(call.request.id))
+
+    def _dropped(self, request_id: str) -> list[Decision]:
+        self._decisions.drop(request_id)
+        return []
+
+    def _finish(self, call: Call, answer: FinalAnswer) -> None:
+        """The one final answer of a call that does not come to stand."""
+        call.state, call.attempt = CallState.OVER, None
+        self.unanswered -= 1
+        del self._calls[call.request.id]
+        call.caller.answer(call, answer)
+
+    def _over(self, call: Call) -> Attempt:
+        attempt = call.attempt
+        assert attempt is not None
+        call.state, call.attempt = CallState.OVER, None
+        del self._calls[call.request.id]
+        return attempt
+
+
+# Endings that prove that a set-up never ran: no release wait follows.
+PROVEN_NOT_RUN = frozenset(
+    {
+        Ending.FAULT,
+        Ending.NUMBER_BUSY,
+        Ending.LINES_FULL,
+        Ending.PROCESSOR_FULL,
+        Ending.MOOT,
+        Ending.CONNECTION_REFUSED,
+        Ending.CONNECTION_SILENT,
+    }
+)
+
+
+def _as_list(decision: Decision | None) -> list[Decision]:
+    return [] if decision is None else [decision]
+
+
+def _stands_at(call: Call, server: str) -> bool:
+    attempt = call.attempt
+    return call.state is CallState.STANDING and attempt is not None and attempt.server == server
--- /dev/null
+++ b/mallowquay/core/decisions.py
@@ -0,0 +1,231 @@
+"""The decision module behind a small facade in blocking style: pick, report, tick.
+
+Nothing else sees the module's events, actions or microseconds.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+from datetime import timedelta
+
+from quincestand import (
+    Action,
+    AttemptEnded,
+    CallerGone,
+    CallOffered,
+    CallStands,
+    CancelAttempt,
+    Controller,
+    Event,
+    Fail,
+    ListKind,
+    Log,
+    Outcome,
+    Refuse,
+    Send,
+    ServerEntry,
+    ServerList,
+    ServerReport,
+    ServerState,
+    SetTimer,
+    Settings,
+    TimerDue,
+)
+
+from .model import (
+    CallerLeft,
+    Clock,
+    Decision,
+    Decline,
+    Dispatch,
+    Ended,
+    Ending,
+    ListTold,
+    Load,
+    LoadTold,
+    News,
+    Request,
+    Server,
+    ServerStatus,
+    Stood,
+    Withdraw,
+)
+
+log = logging.getLogger(__name__)
+
+MICROSECOND = timedelta(microseconds=1)
+
+# The one table from endings to the module's outcomes.
+OUTCOMES: dict[Ending, Outcome] = {
+    Ending.COMPLETED: Outcome.ENDED,
+    Ending.FAULT: Outcome.ERROR,
+    Ending.NUMBER_BUSY: Outcome.ERROR,
+    Ending.LINES_FULL: Outcome.FULL,
+    Ending.PROCESSOR_FULL: Outcome.FULL,
+    Ending.MOOT: Outcome.NOT_SENT,
+    Ending.SETUP_RESET: Outcome.RESET,
+    Ending.CUT: Outcome.RESET,
+    Ending.TIMED_OUT: Outcome.TIMEOUT,
+    Ending.WITHDRAWN: Outcome.CANCELLED,
+    Ending.CALLER_LEFT: Outcome.CANCELLED,
+    Ending.CONNECTION_REFUSED: Outcome.CONNECT_FAILED,
+    Ending.CONNECTION_SILENT: Outcome.CONNECT_FAILED,
+    Ending.CONNECTION_RESET: Outcome.RESET,
+    Ending.CONNECTION_CLOSED: Outcome.RESET,
+    Ending.UNREADABLE: Outcome.RESET,
+    Ending.SERVER_GONE: Outcome.RESET,
+}
+STATES = {
+    ServerStatus.READY: ServerState.READY,
+    ServerStatus.DRAINING: ServerState.DRAINING,
+    ServerStatus.GONE: ServerState.GONE,
+}
+NUMBER_MOST = 2**64
+
+
+def number_key(number: str) -> int:
+    """The number called as the module's key: 16 hex digits as they are, other texts folded."""
+    try:
+        return int(number, 16) % NUMBER_MOST
+    except ValueError:
+        return int.from_bytes(number.encode()[-8:], "big")
+
+
+class Decisions:
+    """Decides for one gatekeeper; a held call's decision comes out of a later report or tick."""
+
+    def __init__(self, settings: Settings, seed: int, clock: Clock) -> None:
+        self._settings, self._clock = settings, clock
+        self._controller = Controller(settings, seed)
+        self._timers: list[tuple[int, int]] = []
+        self._numbers: dict[str, int] = {}  # request id to the module's call number, while either owes
+        self._names: dict[int, str] = {}
+        self._sent: dict[int, int] = {}  # attempts sent so far of each call
+        self._started: dict[tuple[str, timedelta | None], int] = {}
+        self._next_number = 0
+        self._last = 0
+
+    # --- the facade
+
+    def pick(self, request: Request) -> Decision | None:
+        """Where the call goes, or its refusal; None while it is held."""
+        self._next_number += 1
+        number = self._next_number
+        self._numbers[request.id], self._names[number], self._sent[number] = number, request.id, 0
+        budget = max(0, request.deadline // MICROSECOND - self._now())
+        event = CallOffered(
+            call=number,
+            call_class=request.call_class,
+            group=0,
+            called=number_key(request.number),
+            budget=budget,
+            destination=request.destination,
+            redialled=request.redialled,
+            in_transit=False,
+        )
+        decisions = self._handle(event)
+        return decisions[0] if decisions else None
+
+    def report(self, news: News) -> list[Decision]:
+        """Tell what happened; what is to be done now comes back."""
+        event = self._event(news)
+        decisions = self._handle(event) if event is not None else []
+        if isinstance(news, Ended) and news.closed:
+            self._forget(news.attempt.request.id)
+        elif isinstance(news, CallerLeft):
+            self._forget(news.request_id, keep_number=True)
+        return decisions
+
+    def tick(self, now: timedelta) -> list[Decision]:
+        """Let timers that are due by now take effect."""
+        decisions: list[Decision] = []
+        due = now // MICROSECOND
+        while self._timers and self._timers[0][0] <= due:
+            _, token = heapq.heappop(self._timers)
+            decisions += self._handle(TimerDue(token))
+        return decisions
+
+    def next_tick(self) -> timedelta | None:
+        """When tick is to be called next."""
+        return self._timers[0][0] * MICROSECOND if self._timers else None
+
+    def drop(self, request_id: str) -> None:
+        """Forget a call that ended without an attempt."""
+        self._forget(request_id)
+
+    # --- events and actions
+
+    def _now(self) -> int:
+        self._last = max(self._last, self._clock() // MICROSECOND)
+        return self._last
+
+    def _forget(self, request_id: str, keep_number: bool = False) -> None:
+        number = self._numbers.get(request_id)
+        if number is not None and not keep_number:
+            del self._numbers[request_id], self._names[number], self._sent[number]
+
+    def _event(self, news: News) -> Event | None:
+        if isinstance(news, ListTold):
+            kind = ListKind.FULL if news.whole else ListKind.CHANGES
+            return ServerList(kind, tuple(self._entry(server) for server in news.servers))
+        if isinstance(news, LoadTold):
+            return ServerReport(news.server, True, False, self._figures(news.load))
+        if isinstance(news, CallerLeft):
+            number = self._numbers.get(news.request_id)
+            return None if number is None else CallerGone(number)
+        attempt = news.attempt
+        number = self._numbers.get(attempt.request.id)
+        if number is None:
+            return None
+        delay = max(0, self._now() - attempt.sent_at // MICROSECOND)
+        if isinstance(news, Stood):
+            return CallStands(number, attempt.index, delay, attempt.server)
+        return AttemptEnded(
+            call=number,
+            attempt=attempt.index,
+            server=attempt.server,
+            outcome=OUTCOMES[news.ending],
+            delay=delay,
+            closed=news.closed,
+            processor_full=news.ending is Ending.PROCESSOR_FULL,
+            number_busy=news.ending is Ending.NUMBER_BUSY,
+            report=self._figures(news.load),
+        )
+
+    def _entry(self, server: Server) -> ServerEntry:
+        # The same start must give the same figure each time, or the module would see a new start.
+        key = (server.id, server.started)
+        started = 0 if server.started is None else server.started // MICROSECOND or 1
+        started = self._started.setdefault(key, started)
+        return ServerEntry(server.id, server.number, STATES[server.status], started)
+
+    def _figures(self, load: Load) -> tuple[float, ...]:
+        return tuple(load.get(name, -1.0) for name in self._settings.report_fields) if load else ()
+
+    def _handle(self, event: Event) -> list[Decision]:
+        now = self._now()
+        decisions: list[Decision] = []
+        for action in self._controller.handle(now, event):
+            decision = self._decision(now, action)
+            if decision is not None:
+                decisions.append(decision)
+        return decisions
+
+    def _decision(self, now: int, action: Action) -> Decision | None:
+        match action:
+            case SetTimer(delay, token):
+                heapq.heappush(self._timers, (now + delay, token))
+            case Send(call, server, timeout):
+                index = self._sent[call]
+                self._sent[call] = index + 1
+                return Dispatch(self._names[call], index, server, timeout * MICROSECOND)
+            case Refuse(call, retry_after):
+                return Decline(self._names[call], retry_after * MICROSECOND, failed=False)
+            case Fail(call, retry_after):
+                return Decline(self._names[call], retry_after * MICROSECOND, failed=True)
+            case CancelAttempt(call, attempt):
+                return Withdraw(self._names[call], attempt)
+            case Log(text):
+                log.info("%s", text)
+        return None
--- /dev/null
+++ b/mallowquay/net/clock.py
@@ -0,0 +1,53 @@
+"""The clock of the program, and the one timer that drives the core."""
+
+from __future__ import annotations
+
+import time
+from datetime import timedelta
+
+from tornado.ioloop import IOLoop
+
+from ..core.calls import Calls
+
+
+def monotonic() -> timedelta:
+    """Time since an arbitrary start; only advances."""
+    return timedelta(microseconds=time.monotonic_ns() // 1000)
+
+
+class UnixTime:
+    """Turns Unix milliseconds into points of the monotonic clock; the offset is taken once."""
+
+    def __init__(self) -> None:
+        self._offset = timedelta(microseconds=time.time_ns() // 1000) - monotonic()
+
+    def point(self, unix_ms: int) -> timedelta | None:
+        """The point on the monotonic clock; None for 0, a start long ago."""
+        return timedelta(milliseconds=unix_ms) - self._offset if unix_ms else None
+
+
+class Metronome:
+    """Calls Calls.tick when something is due: one timer of the loop at a time."""
+
+    def __init__(self, loop: IOLoop, calls: Calls) -> None:
+        self._loop, self._calls = loop, calls
+        self._handle: object | None = None
+        self._due: timedelta | None = None
+        calls.wake = self.wake
+        self.wake()
+
+    def wake(self) -> None:
+        """Set the timer to the next due time."""
+        due = self._calls.next_due()
+        if due == self._due:
+            return
+        if self._handle is not None:
+            self._loop.remove_timeout(self._handle)
+        self._handle, self._due = None, due
+        if due is not None:
+            self._handle = self._loop.add_timeout(max(due - monotonic(), timedelta(0)), self._tick)
+
+    def _tick(self) -> None:
+        self._handle = self._due = None
+        self._calls.tick()
+        self.wake()
--- /dev/null
+++ b/mallowquay/net/coordinator.py
@@ -0,0 +1,131 @@
+"""The coordinator's feed of the server list: frames over TCP, applied in order from a known index."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import struct
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from tornado import gen
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.util import TimeoutError as TornadoTimeout
+
+from ..core.model import ListTold, Server, ServerStatus
+from .clock import UnixTime
+from .streams import new_socket, quiet
+
+log = logging.getLogger(__name__)
+
+FRAME = struct.Struct(">IQB")  # length (of all that follows it), number, kind
+RECORD = struct.Struct(">I4sHBBBHIQ")
+LENGTH_HEAD = 9  # number and kind count into the length
+FRAME_MOST = 1024 * 1024
+NOTHING, WHOLE, CHANGES = 0, 1, 2
+STATUS = (ServerStatus.READY, ServerStatus.DRAINING, ServerStatus.GONE)
+WORDS = {
+    "in_service": ServerStatus.READY,
+    "terminating": ServerStatus.DRAINING,
+    "terminated": ServerStatus.GONE,
+}
+CONNECT_WITHIN = timedelta(seconds=1)
+SILENT_AFTER = timedelta(seconds=3)  # an empty frame comes each second
+RETRY_AFTER = timedelta(milliseconds=200)
+
+
+class FeedError(Exception):
+    """The feed cannot be followed from here; connecting anew may help."""
+
+
+def read_records(payload: bytes, unix: UnixTime) -> tuple[Server, ...]:
+    """The servers of one frame."""
+    if len(payload) % RECORD.size:
+        raise FeedError(f"{len(payload)} bytes are no whole number of records")
+    return tuple(_record(values, unix) for values in RECORD.iter_unpack(payload))
+
+
+def _record(values: tuple[Any, ...], unix: UnixTime) -> Server:
+    number, raw, port, state, _, _, cell, _, started = values
+    if state >= len(STATUS):
+        raise FeedError(f"unknown state {state}")
+    address = (socket.inet_ntoa(raw), port)
+    return Server(f"s-{number:08x}", address, cell, STATUS[state], _point(started, unix))
+
+
+def _point(started_ms: int, unix: UnixTime) -> timedelta | None:
+    try:
+        return unix.point(started_ms)
+    except OverflowError as fault:
+        raise FeedError(f"started {started_ms} is no time") from fault
+
+
+def read_known(known: dict[str, Any], unix: UnixTime) -> tuple[int, list[ListTold]]:
+    """The last number and the events of the configuration's `known`."""
+    events: list[ListTold] = []
+    for update in known.get("updates", []):
+        told = update.get("endpoints", {})
+        servers = tuple(_known_server(entry, unix) for entry in told.get("servers", []))
+        events.append(ListTold(servers, bool(told.get("full")) or not events))
+    return int(known.get("index", 0)), events
+
+
+def _known_server(entry: dict[str, Any], unix: UnixTime) -> Server:
+    host, _, port = entry["addr"].rpartition(":")
+    status = WORDS[entry["state"]]
+    started = _point(int(entry.get("started_ms", 0)), unix)
+    return Server(entry["id"], (host, int(port)), int(entry.get("cell", -1)), status, started)
+
+
+class Coordinator:
+    """Follows the feed for as long as the program runs."""
+
+    def __init__(
+        self, address: tuple[str, int], index: int, unix: UnixTime, tell: Callable[[ListTold], None]
+    ) -> None:
+        self._address, self._unix, self._tell = address, unix, tell
+        self.index = index
+
+    async def follow(self) -> None:
+        """Connect, apply events in order, and connect again from the last one when the feed breaks."""
+        while True:
+            try:
+                await self._session()
+            except (FeedError, StreamClosedError, TornadoTimeout) as fault:
+                log.info("coordinator: %s", str(fault) or type(fault).__name__)
+            await asyncio.sleep(RETRY_AFTER.total_seconds())
+
+    async def _session(self) -> None:
+        stream = IOStream(new_socket(), max_buffer_size=2 * FRAME_MOST)
+        try:
+            await gen.with_timeout(CONNECT_WITHIN, stream.connect(self._address))
+            quiet(stream)
+            await stream.write(self.index.to_bytes(8, "big"))
+            while True:
+                await self._frame(stream)
+        finally:
+            stream.close()
+
+    async def _frame(self, stream: IOStream) -> None:
+        head = await gen.with_timeout(SILENT_AFTER, stream.read_bytes(FRAME.size))
+        length, number, kind = FRAME.unpack(head)
+        if not LENGTH_HEAD <= length <= FRAME_MOST:
+            raise FeedError(f"a frame of {length} bytes")
+        payload = b""
+        if length > LENGTH_HEAD:
+            payload = await gen.with_timeout(SILENT_AFTER, stream.read_bytes(length - LENGTH_HEAD))
+        self.apply(number, kind, payload)
+
+    def apply(self, number: int, kind: int, payload: bytes) -> None:
+        """Apply one frame: an event applied before is passed over, a gap is not crossed by changes."""
+        if kind == NOTHING or number <= self.index:
+            return
+        if kind not in (WHOLE, CHANGES):
+            raise FeedError(f"unknown kind of frame {kind}")
+        if kind == CHANGES and number != self.index + 1:
+            raise FeedError(f"event {number} follows event {self.index}")
+        servers = read_records(payload, self._unix)
+        self.index = number
+        self._tell(ListTold(servers, kind == WHOLE))
--- /dev/null
+++ b/mallowquay/net/recent.py
@@ -0,0 +1,22 @@
+"""A bounded memory of ids met lately."""
+
+from __future__ import annotations
+
+
+class Recent:
+    """Remembers the last so many ids."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._ids: dict[str, None] = {}
+
+    def add(self, name: str) -> None:
+        """Remember an id, forgetting the oldest."""
+        self._ids.pop(name, None)
+        self._ids[name] = None
+        if len(self._ids) > self._most:
+            del self._ids[next(iter(self._ids))]
+
+    def holds(self, name: str) -> bool:
+        """Whether the id was met lately."""
+        return name in self._ids
--- /dev/null
+++ b/mallowquay/net/sip/__init__.py
@@ -0,0 +1,1 @@
+"""SIP: messages for both fronts; transport, transactions, dialogs, front and server side of the second."""
--- /dev/null
+++ b/mallowquay/net/streams.py
@@ -0,0 +1,112 @@
+"""Reading into one bounded buffer that messages are parsed in, and gathered writes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Sequence
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from ..core.model import Ending
+
+log = logging.getLogger(__name__)
+
+MESSAGE_MOST = 16 * 1024
+WRITE_BUFFER_MOST = 256 * 1024  # a peer that does not read is dropped past this
+
+
+class TooLong(Exception):
+    """A message does not fit into the buffer."""
+
+
+class MessageBuffer:
+    """Bytes of one connection: filled at the end, consumed from the start, never grown."""
+
+    def __init__(self, size: int = MESSAGE_MOST) -> None:
+        self.data = bytearray(size)
+        self.start = self.end = 0
+
+    def room(self) -> memoryview:
+        """The free part to read into; raises TooLong when one message fills it all."""
+        if self.start == self.end:
+            self.start = self.end = 0
+        elif self.end == len(self.data):
+            if self.start == 0:
+                raise TooLong(f"a message is longer than {len(self.data)} bytes")
+            kept = self.end - self.start
+            self.data[:kept] = self.data[self.start : self.end]
+            self.start, self.end = 0, kept
+        return memoryview(self.data)[self.end :]
+
+    def filled(self, count: int) -> None:
+        """So many bytes were read into the room."""
+        self.end += count
+
+    def put(self, data: bytes) -> None:
+        """Append bytes that came in another way."""
+        room = self.room()
+        if len(data) > len(room):
+            raise TooLong(f"{len(data)} bytes do not fit")
+        room[: len(data)] = data
+        self.filled(len(data))
+
+
+async def fill(stream: IOStream, buffer: MessageBuffer) -> None:
+    """Read what has come, at least a byte, straight into the buffer."""
+    buffer.filled(await stream.read_into(buffer.room(), partial=True))  # type: ignore[arg-type]
+
+
+def gathered_write(stream: IOStream, parts: Sequence[bytes | memoryview]) -> bool:
+    """Write all parts with one system call where the stream is idle; False if it is closed.
+
+    IOStream has no gathered write of its own: sendmsg takes the parts as they are, and only what the
+    socket does not take at once goes through the stream's own buffer.
+    """
+    if stream.closed():
+        return False
+    try:
+        sent = 0
+        if not stream.writing():
+            try:
+                sent = stream.socket.sendmsg(parts)
+            except (BlockingIOError, InterruptedError):
+                sent = 0
+        for part in parts:
+            if sent >= len(part):
+                sent -= len(part)
+                continue
+            rest = stream.write(bytes(memoryview(part)[sent:]))
+            _ignore_failure(rest)
+            sent = 0
+    except (OSError, StreamClosedError):
+        stream.close()
+        return False
+    return True
+
+
+def _ignore_failure(future: asyncio.Future[None]) -> None:
+    # The read loop of the stream notices that it closed; nobody waits for this write.
+    future.add_done_callback(lambda done: done.cancelled() or done.exception())
+
+
+def quiet(stream: IOStream) -> IOStream:
+    """Small messages leave at once."""
+    stream.set_nodelay(True)
+    return stream
+
+
+def close_ending(stream: IOStream) -> Ending:
+    """Why a stream closed."""
+    error = stream.error
+    if isinstance(error, ConnectionRefusedError):
+        return Ending.CONNECTION_REFUSED
+    if isinstance(error, OSError):
+        return Ending.CONNECTION_RESET
+    return Ending.CONNECTION_CLOSED
+
+
+def new_socket(family: socket.AddressFamily = socket.AF_INET) -> socket.socket:
+    """A stream socket for an outgoing connection."""
+    return socket.socket(family, socket.SOCK_STREAM)
--- a/quincestand/interface.py
+++ b/quincestand/interface.py
@@ -221,9 +221,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Fail:
-    """Final answer: given up."""
+    """Final answer: given up; `retry_after` as in Refuse, where the front can tell it."""
 
     call: CallId
+    retry_after: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/quincestand/logic.py
+++ b/quincestand/logic.py
@@ -702,7 +702,7 @@
         # Spread, so that refused callers do not come back as one more peak.
         wait = self.random.randrange(most // 2, most) if most > 1 else 0
         number = call.event.call
-        self.actions.append(Fail(number) if call.may_have_run else Refuse(number, wait))
+        self.actions.append(Fail(number, wait) if call.may_have_run else Refuse(number, wait))
 
     # --- timers and log
 
--- a/quincestand/wire.py
+++ b/quincestand/wire.py
@@ -231,7 +231,7 @@
                 return pack("<BHII6s", 10, instance, call, timeout, raw(server))
             case Refuse(call, retry_after):
                 return pack("<BHII", 90, instance, call, retry_after)
-            case Fail(call):
+            case Fail(call, _):  # the wire has no room for the wait
                 return pack("<BHI", 20, instance, call)
             case CancelAttempt(call, attempt):
                 return pack("<BHIB", 70, instance, call, attempt)
