--- a/mallowquay/__main__.py
+++ b/mallowquay/__main__.py
@@ -5,15 +5,19 @@
 import asyncio
 import gc
 import logging
+import os
+import random
 import signal
 import sys
+from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 from tornado.ioloop import IOLoop
 from tornado.netutil import bind_sockets
 
 from . import config
-from .config import Config, ConfigError, PlatformConfig
+from .config import Config, ConfigError, PlatformConfig, SipConfig
 from .core.calls import Calls
 from .core.decisions import Decisions
 from .core.model import ListTold
@@ -21,6 +25,10 @@
 from .net.coordinator import Coordinator, read_known
 from .net.platform_front import PlatformFront
 from .net.platform_servers import PlatformServers
+from .net.sip.front import SipFront
+from .net.sip.servers import SipServers
+from .net.sip.transactions import Timers, Transactions
+from .net.sip.transport import Transport
 
 log = logging.getLogger("mallowquay")
 
@@ -42,18 +50,15 @@
             decisions, monotonic, settings.release_wait, settings.guard_margin, settings.default_gap
         )
         self.metronome = Metronome(self.loop, self.calls)
-        self.front: PlatformFront | None = None
+        self.front: PlatformFront | SipFront | None = None
 
     def start_platform(self, platform: PlatformConfig) -> None:
         """Listen for the platform's callers and follow its coordinator."""
         servers = PlatformServers(self.calls, self.loop, monotonic, self.config.connect_timeout)
         self.calls.attach(servers)
+        most = self.config.sockets - config.SOCKETS_KEPT
         front = self.front = PlatformFront(
-            self.calls,
-            monotonic,
-            self.config.classes,
-            self.config.end_margin,
-            self.config.sockets - config.SOCKETS_KEPT,
+            self.calls, monotonic, self.config.classes, self.config.end_margin, most
         )
         front.stray_release = servers.release_stray
         servers.stray_ended = front.stray_ended
@@ -75,6 +80,33 @@
         front.add_sockets(bind_sockets(port, host, backlog=BACKLOG))
         log.info("%s serves at %s:%d", platform.name, host, port)
 
+    def start_sip(self, sip: SipConfig) -> None:
+        """Serve SIP over UDP and TCP."""
+        chance = random.Random(self.config.seed)
+        tag = partial(_tag, chance)
+        most = self.config.sockets - config.SOCKETS_KEPT
+        transport = Transport(self.loop, self.config.connect_timeout, most)
+        timers = Timers(sip.t1, sip.t2, sip.t4)
+        layer = Transactions(transport, timers, self._later, tag, sip.transactions_most)
+        transport.take, transport.lost = layer.take, layer.connection_lost
+        servers = SipServers(self.calls, layer, monotonic, tag)
+        self.calls.attach(servers)
+        self.front = SipFront(
+            self.calls, layer, servers, monotonic, tag, sip, self.config.classes, self.config.end_margin
+        )
+        told = ListTold(sip.servers, whole=True)
+        self.calls.list_told(told)
+        servers.list_told(told)
+        if sip.udp is not None:
+            transport.listen_udp(sip.udp)
+        if sip.tcp is not None:
+            transport.listen_tcp(sip.tcp)
+        places = [f"{name} {host}:{port}" for name, (host, port) in transport.listening().items()]
+        log.info("SIP at %s", ", ".join(places))
+
+    def _later(self, delay: timedelta, action: Callable[[], None]) -> asyncio.TimerHandle:
+        return asyncio.get_running_loop().call_later(delay.total_seconds(), action)
+
     def stop(self) -> None:
         """SIGTERM: finish what was taken, and go on accepting for the time that callers may still come."""
         if self.stopped_at is not None:
@@ -94,6 +126,10 @@
             self.loop.add_timeout(STOP_LOOKS, self._look)
 
 
+def _tag(chance: random.Random) -> str:
+    return f"{chance.getrandbits(64):016x}"
+
+
 async def serve(settings: Config) -> None:
     """Run until SIGTERM or SIGINT has been carried out."""
     program = Program(settings)
@@ -102,6 +138,8 @@
         loop.add_signal_handler(number, program.stop)
     if settings.platform is not None:
         program.start_platform(settings.platform)
+    if settings.sip is not None:
+        program.start_sip(settings.sip)
     gc.collect()
     gc.freeze()  # what stands from the start is never looked through again: shorter pauses
     await program.done.wait()
@@ -114,7 +152,7 @@
         level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
     try:
-        settings = config.from_environment()
+        settings = config.of_process(sys.argv[1:], os.environ)
     except ConfigError as fault:
         print(f"mallowquay: configuration: {fault}", file=sys.stderr)
         return 2
--- a/mallowquay/config.py
+++ b/mallowquay/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-import os
+import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -12,7 +12,10 @@
 from quincestand import Settings
 from quincestand.wire import read_settings
 
-MICROSECOND = timedelta(microseconds=1)
+from .core.model import Server, ServerStatus
+
+MICROSECOND, MILLISECOND = timedelta(microseconds=1), timedelta(milliseconds=1)
+OTHER = {"udp": "tcp", "tcp": "udp"}
 
 # --- defaults ------------------------------------------------------------------------------------
 END_MARGIN = timedelta(milliseconds=40)  # the module's last word comes so long before the caller gives up,
@@ -45,6 +48,21 @@
     known: dict[str, Any]
 
 
+@dataclass(frozen=True, slots=True)
+class SipConfig:
+    """The second front: SIP over UDP and TCP, set up by an operator's file."""
+
+    udp: tuple[str, int] | None
+    tcp: tuple[str, int] | None
+    default_class: str
+    t1: timedelta
+    t2: timedelta
+    t4: timedelta
+    calls_most: int
+    transactions_most: int
+    servers: tuple[Server, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that the program is told."""
@@ -58,11 +76,12 @@
     end_margin: timedelta
     guard_margin: timedelta
     sockets: int
-    platform: PlatformConfig | None
+    platform: PlatformConfig | None = None
+    sip: SipConfig | None = None
 
 
 def load(environment: Mapping[str, str]) -> Config:
-    """The configuration that the environment names."""
+    """The platform's configuration, which the environment names."""
     path = environment.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
@@ -89,11 +108,16 @@
     )
     limits = document.get("limits", {})
     sockets = want(limits, "sockets", int, "limits.") if "sockets" in limits else DEFAULT_SOCKETS
-    return common(want(document, "settings", dict), read_seed(document.get("seed", "0")), sockets, platform)
+    settings = want(document, "settings", dict)
+    return common(settings, read_seed(document.get("seed", "0")), sockets, platform=platform)
 
 
 def common(
-    settings: dict[str, Any], seed: int, sockets: int, platform: PlatformConfig | None = None
+    settings: dict[str, Any],
+    seed: int,
+    sockets: int,
+    platform: PlatformConfig | None = None,
+    sip: SipConfig | None = None,
 ) -> Config:
     """What both fronts share: the module's settings and what is drawn from them."""
     try:
@@ -119,9 +143,140 @@
         guard_margin=GUARD_MARGIN,
         sockets=sockets,
         platform=platform,
+        sip=sip,
+    )
+
+
+# --- the operator's file -------------------------------------------------------------------------
+
+DEFAULT_RULES = {"drainGrace": 500_000, "coldFrom": 0.29, "cold": 15_000_000, "fallMultiple": 3.0}
+DEFAULT_RULES |= {"fall": 3_000_000}
+TOP_KEYS = {"sip", "classes", "servers", "limits", "gatekeepers", "seed"}
+SIP_KEYS = {"udp", "tcp", "default_class", "t1_ms", "t2_ms", "t4_ms", "calls_most", "transactions_most"}
+CLASS_KEYS = {"name", "aim_ms", "deadline_ms", "worth", "late_worth", "hold_ms"}
+SERVER_KEYS = {"id", "address", "number", "transport"}
+LIMIT_KEYS = {"sockets", "attempts", "retry_after_ms", "release_wait_ms", "connect_timeout_ms"}
+
+
+def load_operator(path: str) -> Config:
+    """The configuration of an operator's file."""
+    try:
+        with open(path, "rb") as file:
+            document = tomllib.load(file)
+    except OSError as fault:
+        raise ConfigError(f"{path}: {fault.strerror}") from fault
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
+        raise ConfigError(f"{path} is not TOML: {fault}") from fault
+    return operator_config(document)
+
+
+def operator_config(document: dict[str, Any]) -> Config:
+    """Check an operator's file: every key in it must be known."""
+    known(document, TOP_KEYS, "")
+    classes = want(document, "classes", list)
+    limits = document.get("limits", {})
+    known(limits, LIMIT_KEYS, "limits.")
+    services = [_service(kind, f"classes.{index}.") for index, kind in enumerate(classes)]
+    names = [service["name"] for service in services]
+    settings = {
+        "groupSize": count(document, "gatekeepers", 1, ""),
+        "services": services,
+        "overShareWorth": 1.0,
+        "registryMode": "pushed",
+        "limits": {
+            "mostTries": count(limits, "attempts", 4, "limits."),
+            "retryAfter": True,
+            "maxRetryAfter": 1000 * count(limits, "retry_after_ms", 2000, "limits."),
+            "mayProbe": False,
+            "cancelling": True,
+            "dialTimeout": 1000 * count(limits, "connect_timeout_ms", 500, "limits."),
+        },
+        "telemetry": {"fields": ["free", "size", "hold_back"]},
+        "extra": {
+            "layout": "pools",
+            "repeat": 0,
+            "release": 1000 * count(limits, "release_wait_ms", 300, "limits."),
+            "meanHold": [service["hold"] for service in services],
+        },
+        "rules": DEFAULT_RULES,
+    }
+    sip = _sip(want(document, "sip", dict), document, names)
+    sockets = count(limits, "sockets", DEFAULT_SOCKETS, "limits.")
+    return common(settings, read_seed(document.get("seed", "1")), sockets, sip=sip)
+
+
+def _service(kind: Any, above: str) -> dict[str, Any]:
+    known(kind, CLASS_KEYS, above)
+    return {
+        "name": want(kind, "name", str, above),
+        "onTime": 1000 * count(kind, "aim_ms", None, above),
+        "deadline": 1000 * count(kind, "deadline_ms", None, above),
+        "worth": kind.get("worth", 1.0),
+        "lateWorth": kind.get("late_worth", 0.0),
+        "effect": "read_like",
+        "hold": 1000 * count(kind, "hold_ms", 10_000, above),
+    }
+
+
+def _sip(table: dict[str, Any], document: dict[str, Any], names: list[str]) -> SipConfig:
+    known(table, SIP_KEYS, "sip.")
+    listen = {key: address(want(table, key, str, "sip."), f"sip.{key}") for key in OTHER if key in table}
+    if not listen:
+        raise ConfigError("sip.udp or sip.tcp must be given")
+    default_class = table.get("default_class", names[0] if names else "")
+    if default_class not in names:
+        raise ConfigError(f"sip.default_class names no class: {default_class!r}")
+    entries = [_server(entry, index) for index, entry in enumerate(document.get("servers", []))]
+    if len({server.id for server in entries}) < len(entries):
+        raise ConfigError("servers: an id is given twice")
+    return SipConfig(
+        udp=listen.get("udp"),
+        tcp=listen.get("tcp"),
+        default_class=default_class,
+        t1=count(table, "t1_ms", 500, "sip.") * MILLISECOND,
+        t2=count(table, "t2_ms", 4000, "sip.") * MILLISECOND,
+        t4=count(table, "t4_ms", 5000, "sip.") * MILLISECOND,
+        calls_most=count(table, "calls_most", 20_000, "sip."),
+        transactions_most=count(table, "transactions_most", 60_000, "sip."),
+        servers=tuple(entries),
     )
 
 
+def _server(entry: Any, index: int) -> Server:
+    above = f"servers.{index}."
+    known(entry, SERVER_KEYS, above)
+    transport = entry.get("transport", "udp")
+    if transport not in OTHER:
+        raise ConfigError(f"{above}transport must be udp or tcp, not {transport!r}")
+    where = address(want(entry, "address", str, above), f"{above}address")
+    number = entry.get("number", index)
+    if not isinstance(number, int) or isinstance(number, bool):
+        raise ConfigError(f"{above}number must be int, not {number!r}")
+    return Server(
+        want(entry, "id", str, above), where, number, ServerStatus.READY, transport=transport
+    )
+
+
+def known(table: Any, keys: set[str], above: str) -> None:
+    """Only keys that mean something: a misspelt one must not pass for its default."""
+    if not isinstance(table, dict):
+        raise ConfigError(f"{above.rstrip('.')} must be a table")
+    for key in table:
+        if key not in keys:
+            raise ConfigError(f"{above}{key} is not known")
+
+
+def count(table: dict[str, Any], key: str, default: int | None, above: str) -> int:
+    """A whole number above 0."""
+    value = want(table, key, int, above) if default is None else table.get(key, default)
+    if not isinstance(value, int) or isinstance(value, bool) or value <= 0:
+        raise ConfigError(f"{above}{key} must be a whole number above 0, not {value!r}")
+    return value
+
+
+# --- values --------------------------------------------------------------------------------------
+
+
 def want(values: Any, key: str, kind: type, above: str = "") -> Any:
     """The value of a key that must be there and of this kind."""
     if not isinstance(values, dict) or key not in values:
@@ -175,6 +330,8 @@
     return "" if value is None else str(value).replace(" ", "_").replace(",", "_").replace("\n", "_")
 
 
-def from_environment() -> Config:
-    """The configuration of this process."""
-    return load(os.environ)
+def of_process(arguments: list[str], environment: Mapping[str, str]) -> Config:
+    """The configuration of this process: an operator's file if one is named, else the platform's."""
+    if len(arguments) > 1:
+        raise ConfigError(f"one file at most, not {len(arguments)}")
+    return load_operator(arguments[0]) if arguments else load(environment)
--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -112,7 +112,15 @@
 
     def standing_at(self, server: str) -> list[Call]:
         """The calls that stand at this log server."""
-        return [c for c in self._calls.values() if _stands_at(c, server)]
+        return [call for call, _ in self._at_server(server, CallState.STANDING)]
+
+    def trying_at(self, server: str) -> list[Attempt]:
+        """The attempts that are out at this log server."""
+        return [attempt for _, attempt in self._at_server(server, CallState.TRYING)]
+
+    def _at_server(self, server: str, state: CallState) -> list[tuple[Call, Attempt]]:
+        pairs = [(call, call.attempt) for call in self._calls.values() if call.state is state]
+        return [(call, attempt) for call, attempt in pairs if attempt and attempt.server == server]
 
     # --- from the fronts
 
@@ -328,8 +336,3 @@
 
 def _as_list(decision: Decision | None) -> list[Decision]:
     return [] if decision is None else [decision]
-
-
-def _stands_at(call: Call, server: str) -> bool:
-    attempt = call.attempt
-    return call.state is CallState.STANDING and attempt is not None and attempt.server == server
--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -18,22 +18,19 @@
     Header,
     Message,
     copied_headers,
+    destination_of,
     parse,
     q850_cause,
     user_of,
     write_request,
     write_response,
 )
+from .statuses import NORMAL_CLEARING, platform_status, release_cause
 from .streams import WRITE_BUFFER_MOST, MessageBuffer, TooLong, fill, gathered_write, quiet
 
 log = logging.getLogger(__name__)
 
 MILLISECOND = timedelta(milliseconds=1)
-STATUS = {Verdict.REFUSED: 503, Verdict.CANCELLED: 487}  # and of what failed:
-FAILED, FAILED_LATE = 500, 504
-NORMAL_CLEARING = 16
-RELEASE_CAUSE = {Ending.COMPLETED: 16}
-CUT_CAUSE = 41
 
 
 class Connection:
@@ -61,7 +58,7 @@
         if answer.verdict is Verdict.STANDS:
             parts = write_response(200, self.headers, extra, answer.description.encode("utf-8", "replace"))
         else:
-            status = STATUS.get(answer.verdict) or (FAILED_LATE if answer.timed_out else FAILED)
+            status = platform_status(answer)
             if answer.retry_after:
                 extra = [("P-Gap-Ms", str(-(-answer.retry_after // MILLISECOND)))]
             parts = write_response(status, self.headers, extra)
@@ -70,24 +67,18 @@
 
     def release(self, call: Call, ending: Ending) -> None:
         """Send the release on the connection of the set-up, else on any."""
-        cause = RELEASE_CAUSE.get(ending, CUT_CAUSE)
-        self.front.send_release(call.request.id, self.uri, cause, self.connection)
+        self.front.send_release(call.request.id, self.uri, release_cause(ending), self.connection)
 
 
 class PlatformFront(TCPServer):
     """Listens for callers and turns their messages into calls of the core."""
 
     def __init__(
-        self,
-        calls: Calls,
-        clock: Clock,
-        classes: dict[str, ClassConfig],
-        end_margin: timedelta,
-        connections_most: int,
+        self, calls: Calls, clock: Clock, classes: dict[str, ClassConfig], end_margin: timedelta, most: int
     ) -> None:
         super().__init__(max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
         self._calls, self._clock, self._classes = calls, clock, classes
-        self._margin, self._most = end_margin, connections_most
+        self._margin, self._most = end_margin, most
         self._connections: dict[Connection, None] = {}
         self._unsent: dict[str, list[bytes]] = {}  # releases that found no open connection
         self.over = Recent(4096)  # calls that are over
@@ -185,7 +176,7 @@
             number=user_of(message.uri),
             budget=max(budget - self._margin, timedelta(0)),
             taken_at=self._clock(),
-            destination=_destination(message.get("P-Path")),
+            destination=destination_of(message.get("P-Path")),
             redialled=message.get("P-Second-Try") == "1",
             description=description,
         )
@@ -237,15 +228,3 @@
         while len(self._unsent) >= 1024:
             self._unsent.pop(next(iter(self._unsent)))
         self._unsent[call_id] = parts
-
-
-def _destination(path: str) -> int:
-    """`dest` of P-Path: the number of the log server of first choice; -1 if it is not told."""
-    for part in path.split(";"):
-        name, _, value = part.strip().partition(":")
-        if name == "dest":
-            try:
-                return int(float(value))
-            except (ValueError, OverflowError):
-                return -1
-    return -1
--- a/mallowquay/net/platform_servers.py
+++ b/mallowquay/net/platform_servers.py
@@ -15,7 +15,10 @@
 from tornado.util import TimeoutError as TornadoTimeout
 
 from ..core.calls import Calls, CallState
-from ..core.model import Attempt, Ending, ListTold, Load, Server, ServerStatus
+from ..core.model import Attempt, Clock, Ending, Load, Server, ServerStatus
+from .load import read_load
+from .roster import Roster
+from .statuses import release_ending
 from .streams import (
     WRITE_BUFFER_MOST,
     MessageBuffer,
@@ -41,34 +44,13 @@
     41: Ending.SETUP_RESET,
     34: Ending.LINES_FULL,
 }
-AFTER_ANSWER = {16: Ending.COMPLETED, 41: Ending.CUT}
 NOTES = {"ovl": Ending.PROCESSOR_FULL, "busy": Ending.NUMBER_BUSY, "nc": Ending.LINES_FULL}
-# The settings name report fields in one way, the reports in another; both are read.
-FIELD_WORDS = {"x0": "free", "x1": "size", "eps": "hold_back", "inflight": "in_work", "rif": "in_work"}
-FIELD_WORDS |= {"q": "queue", "util": "busy", "lat_ms": "delay_ms", "latency_ms": "delay_ms"}
-FIELD_WORDS |= {"qps": "can_take"}
-
-
-def read_load(text: object) -> Load:
-    """A report such as `x0:12;x1:40`; parts that cannot be read are left out."""
-    load: Load = {}
-    if not isinstance(text, str):
-        return load
-    for part in text.split(";"):
-        name, colon, value = part.partition(":")
-        try:
-            if colon:
-                load[FIELD_WORDS.get(name.strip(), name.strip())] = float(value)
-        except ValueError:
-            continue
-    return load
-
 
 def ending_of(cause: object, note: object, answered: bool) -> Ending:
     """How an attempt or a standing call ended, by the cause and note of its release."""
     number = cause if isinstance(cause, int) else 0
     if answered:
-        return AFTER_ANSWER.get(number, Ending.CUT)
+        return release_ending(number)
     told = NOTES.get(note) if isinstance(note, str) else None
     if told is Ending.NUMBER_BUSY or (told is not None and number == 34):
         return told
@@ -197,11 +179,12 @@
             stream.close()
 
 
-class PlatformServers:
+class PlatformServers(Roster):
     """All log servers that the list has named."""
 
-    def __init__(self, calls: Calls, loop: IOLoop, clock: Any, connect_timeout: timedelta) -> None:
-        self.calls, self.loop, self.clock = calls, loop, clock
+    def __init__(self, calls: Calls, loop: IOLoop, clock: Clock, connect_timeout: timedelta) -> None:
+        super().__init__(calls)
+        self.loop, self.clock = loop, clock
         self.connect_timeout = connect_timeout
         self.links: dict[str, Link] = {}
         self.unreadable = 0
@@ -222,45 +205,18 @@
 
     # --- the server list
 
-    def list_told(self, told: ListTold) -> None:
-        """Take the list: connect to new servers, so that their free lines are told; drop gone ones."""
-        named = {server.id for server in told.servers}
-        for server in told.servers:
-            self._entry(server)
-        if told.whole:
-            for link in list(self.links.values()):
-                if link.server.id not in named:
-                    self._gone(link)
-
-    def _entry(self, server: Server) -> None:
+    def named(self, server: Server) -> None:
+        """Connect to each server that is ready, so that its free lines are told."""
         link = self.links.get(server.id)
         if link is None:
-            if server.status is ServerStatus.GONE:
-                return
             link = self.links[server.id] = Link(self, server)
-        before, link.server = link.server, server
-        if server.status is ServerStatus.GONE:
-            self._gone(link)
-            return
-        if before.started != server.started:
-            # A new process: what stood at the one before was cut.
-            self.cut_standing(server.id, Ending.SERVER_GONE)
+        link.server = server
         if server.status is ServerStatus.READY:
             link.connect()
 
-    def _gone(self, link: Link) -> None:
-        del self.links[link.server.id]
-        for attempt in [*link.waiting, *link.open.values()]:
-            link.withdraw(attempt)
-            self.calls.ended(attempt, Ending.SERVER_GONE)
-        self.cut_standing(link.server.id, Ending.SERVER_GONE)
-        link.close()
-
-    def cut_standing(self, server: str, ending: Ending) -> None:
-        """Release every call that stood there."""
-        for call in self.calls.standing_at(server):
-            if call.attempt is not None:
-                self.calls.ended(call.attempt, ending)
+    def removed(self, server: Server) -> None:
+        """Close the connection to a server that is gone."""
+        self.links.pop(server.id).close()
 
     # --- the core's side
 
--- /dev/null
+++ b/mallowquay/net/roster.py
@@ -0,0 +1,71 @@
+"""The log servers that the list has named, and what a change of the list means for calls there."""
+
+from __future__ import annotations
+
+from ..core.calls import Calls
+from ..core.model import Attempt, Ending, ListTold, Server, ServerStatus
+
+
+class Roster:
+    """Follows the server list; the side of each wire adds what its connections need."""
+
+    def __init__(self, calls: Calls) -> None:
+        self.calls = calls
+        self.servers: dict[str, Server] = {}
+
+    def list_told(self, told: ListTold) -> None:
+        """Take the whole list, or changes to it."""
+        named = {server.id for server in told.servers}
+        for server in told.servers:
+            self._entry(server)
+        if told.whole:
+            for server in [server for name, server in self.servers.items() if name not in named]:
+                self._gone(server)
+
+    def _entry(self, server: Server) -> None:
+        before = self.servers.get(server.id)
+        if server.status is ServerStatus.GONE:
+            if before is not None:
+                self._gone(before)
+            return
+        self.servers[server.id] = server
+        if before is not None and before.started != server.started:
+            # A new process: what stood at the one before was cut.
+            self.cut_standing(server.id, Ending.SERVER_GONE)
+        self.named(server)
+        if server.status is not ServerStatus.READY:
+            self.closing(server)
+
+    def _gone(self, server: Server) -> None:
+        del self.servers[server.id]
+        for attempt in self.calls.trying_at(server.id):
+            self.withdraw(attempt)
+            self.calls.ended(attempt, Ending.SERVER_GONE)
+        self.cut_standing(server.id, Ending.SERVER_GONE)
+        self.removed(server)
+
+    def cut_standing(self, server: str, ending: Ending) -> None:
+        """Release every call that stood there."""
+        for call in self.calls.standing_at(server):
+            attempt = call.attempt
+            if attempt is not None:
+                self.hang_up(attempt)
+                self.calls.ended(attempt, ending)
+
+    # --- for the side of each wire
+
+    def withdraw(self, attempt: Attempt) -> None:
+        """Give a set-up up."""
+        raise NotImplementedError
+
+    def hang_up(self, attempt: Attempt) -> None:
+        """A standing call is taken as cut."""
+
+    def named(self, server: Server) -> None:
+        """A server is on the list, new or changed."""
+
+    def closing(self, server: Server) -> None:
+        """A server drains."""
+
+    def removed(self, server: Server) -> None:
+        """A server is gone."""
--- /dev/null
+++ b/mallowquay/net/sip/front.py
@@ -0,0 +1,357 @@
+"""Callers of the second front: the server side of the back-to-back user agent."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from ...config import OTHER, ClassConfig, SipConfig
+from ...core.calls import Call, Calls
+from ...core.model import Clock, Ending, FinalAnswer, Request, Verdict
+from ..statuses import NORMAL_CLEARING, release_cause, sip_status
+from .dialogs import Dialog, DialogId, id_of_request, of_request
+from .message import (
+    BadMessage,
+    Header,
+    Message,
+    destination_of,
+    q850_cause,
+    user_of,
+)
+from .servers import QUIET, SipServers
+from .transactions import (
+    ClientTransaction,
+    Handle,
+    InviteServer,
+    NonInviteClient,
+    ServerTransaction,
+    Transactions,
+)
+from .transport import Hop, hop_of, parameter
+
+log = logging.getLogger(__name__)
+
+SECOND, MILLISECOND = timedelta(seconds=1), timedelta(milliseconds=1)
+ALLOW = ("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")
+KNOWN_METHODS = frozenset(
+    "INVITE ACK CANCEL BYE OPTIONS REGISTER INFO UPDATE PRACK SUBSCRIBE NOTIFY REFER MESSAGE PUBLISH".split()
+)
+MANDATORY = ("Via", "From", "To", "Call-ID", "CSeq")
+BUSY_RETRY = ("Retry-After", "2")
+EXPIRES_MOST = timedelta(hours=1)
+
+LegKey = tuple[str, str, int]  # Call-ID, From tag, CSeq: the same on either transport
+
+
+class CallerLeg:
+    """The caller's side of one call: its transactions on either transport, its dialog, its one answer."""
+
+    def __init__(self, front: SipFront, key: LegKey, invite: Message, hop: Hop) -> None:
+        self.front, self.key = front, key
+        self.call_id = "\x1f".join(map(str, key))
+        self.transactions: list[InviteServer] = []
+        self.hop = hop  # where the caller was heard last
+        self.tag = front.new_tag()
+        self.dialog: Dialog = of_request(invite, self.tag)
+        self.record_route: list[Header] = [("Record-Route", value) for value in invite.all("Record-Route")]
+        self.final: tuple[int, list[Header], bytes] | None = None
+        self.acknowledged = self.over = False
+        self.bye_due: int | None = None  # the cause of a BYE that waits for the ACK
+        self._again: Handle | None = None
+
+    def join(self, transaction: InviteServer, hop: Hop) -> None:
+        """The INVITE, or the same one once more on another branch or transport."""
+        self.hop = hop
+        self.transactions.append(transaction)
+        del self.transactions[:-4]
+        if self.final is None:
+            transaction.respond(100, [])
+        else:
+            status, extra, body = self.final
+            transaction.respond(status, extra, body, self.tag)
+
+    def answer(self, call: Call, answer: FinalAnswer) -> None:
+        """Give the one final answer to each transaction that asked."""
+        status = sip_status(answer)
+        extra: list[Header] = []
+        body = b""
+        if answer.verdict is Verdict.STANDS:
+            body = answer.description.encode()
+            extra = [*self.record_route, ("Contact", self.front.contact(self.hop)), ALLOW]
+            if body:
+                extra.append(("Content-Type", "application/sdp"))
+        elif answer.retry_after:
+            extra = [
+                ("Retry-After", str(-(-answer.retry_after // SECOND))),
+                ("P-Gap-Ms", str(-(-answer.retry_after // MILLISECOND))),
+            ]
+        self.final = (status, extra, body)
+        for transaction in self.transactions:
+            transaction.respond(status, extra, body, self.tag)
+        if status == 200:
+            self.front.stands(self)
+            self._resend_after(self.front.layer.timers.t1, self.front.clock() + self.front.layer.timers.whole)
+        else:
+            self.end()
+
+    def _resend_after(self, gap: timedelta, until: timedelta) -> None:
+        """A 2xx is sent again until its ACK, whatever the transport (13.3.1.4)."""
+
+        def fire() -> None:
+            if self.acknowledged or self.over:
+                return
+            if self.front.clock() >= until:
+                log.info("a 200 was never acknowledged: its call is released")
+                self.acknowledged = True
+                self.front.calls.caller_released(self.call_id, NORMAL_CLEARING)
+                self.bye(NORMAL_CLEARING if self.bye_due is None else self.bye_due)
+                return
+            status, extra, body = self.final or (200, [], b"")
+            newest = self.transactions[-1]
+            newest.resend()
+            self._resend_after(min(2 * gap, self.front.layer.timers.t2), until)
+
+        self._again = self.front.layer.later(gap, fire)
+
+    def ack(self, hop: Hop) -> None:
+        """The ACK of our 200, from either transport."""
+        self.hop = hop
+        self.acknowledged = True
+        if self._again is not None:
+            self._again.cancel()
+        if self.bye_due is not None:
+            cause, self.bye_due = self.bye_due, None
+            self.bye(cause)
+
+    def release(self, call: Call, ending: Ending) -> None:
+        """The call is over at its log server: BYE, but not before the ACK (section 15)."""
+        cause = release_cause(ending)
+        if self.acknowledged:
+            self.bye(cause)
+        else:
+            self.bye_due = cause
+
+    def bye(self, cause: int) -> None:
+        """Close the dialog from here."""
+        if self.over:
+            return
+        uri, headers = self.dialog.request("BYE")
+        headers.append(("Reason", f"Q.850;cause={cause}"))
+        hop = self.front.hop_for(self)
+        NonInviteClient(self.front.layer, "BYE", uri, headers, hop, Bye(self, uri, headers)).start()
+        self.end()
+
+    def end(self) -> None:
+        """Nothing more is owed; copies of old messages are known for a while."""
+        if not self.over:
+            self.over = True
+            if self._again is not None:
+                self._again.cancel()
+            self.front.forget_later(self)
+
+
+class Bye:
+    """Tries the other transport once where a BYE could not be sent."""
+
+    def __init__(self, leg: CallerLeg, uri: str, headers: list[Header]) -> None:
+        self.leg, self.uri, self.headers = leg, uri, headers
+
+    def responded(self, transaction: ClientTransaction, response: Message) -> None:
+        """Heard."""
+
+    def unanswered(self, transaction: ClientTransaction, ending: Ending) -> None:
+        """Nobody was there; a caller may have switched its transport."""
+        layer = self.leg.front.layer
+        other = OTHER[transaction.hop.transport]
+        if ending is not Ending.TIMED_OUT and layer.transport.serves(other):
+            hop = Hop(other, transaction.hop.address)
+            NonInviteClient(layer, "BYE", self.uri, self.headers, hop, QUIET).start()
+
+
+class SipFront:
+    """Turns callers' requests into calls of the core."""
+
+    def __init__(
+        self,
+        calls: Calls,
+        layer: Transactions,
+        servers: SipServers,
+        clock: Clock,
+        new_tag: Callable[[], str],
+        config: SipConfig,
+        classes: dict[str, ClassConfig],
+        end_margin: timedelta,
+    ) -> None:
+        self.calls, self.layer, self.clock, self.new_tag = calls, layer, clock, new_tag
+        self._servers, self._config, self._classes, self._margin = servers, config, classes, end_margin
+        self.legs: dict[LegKey, CallerLeg] = {}
+        self.dialogs: dict[DialogId, CallerLeg] = {}
+        self.stopping = False
+        layer.on_request, layer.on_ack = self.request, self.ack
+
+    # --- requests
+
+    def request(self, transaction: ServerTransaction, request: Message) -> None:
+        """A new request: each is answered, with an error where it cannot be served."""
+        try:
+            self._request(transaction, request)
+        except BadMessage as fault:
+            self.layer.transport.garbage += 1
+            transaction.respond(fault.status or 400, [], to_tag=self.new_tag())
+
+    def _request(self, transaction: ServerTransaction, request: Message) -> None:
+        check(request)
+        method = request.method
+        if method == "CANCEL":
+            self._cancel(transaction, request)
+            return
+        tokens = [token for value in request.all("Require") for token in value.split(",")]
+        if tokens:
+            unsupported = ("Unsupported", ", ".join(token.strip() for token in tokens))
+            transaction.respond(420, [unsupported], to_tag=self.new_tag())
+        elif parameter(request.get("To"), "tag"):
+            self._in_dialog(transaction, request)
+        elif method == "INVITE" and isinstance(transaction, InviteServer):
+            self._invite(transaction, request)
+        elif method == "OPTIONS":
+            transaction.respond(503 if self.stopping else 200, [ALLOW], to_tag=self.new_tag())
+        elif method == "BYE":
+            transaction.respond(481, [], to_tag=self.new_tag())
+        else:
+            status = 405 if method in KNOWN_METHODS else 501
+            transaction.respond(status, [ALLOW], to_tag=self.new_tag())
+
+    def _invite(self, transaction: InviteServer, invite: Message) -> None:
+        key = leg_key(invite)
+        leg = self.legs.get(key)
+        if leg is not None:  # the caller switched its transport, or sent it on a new branch
+            leg.join(transaction, transaction.hop)
+            return
+        request = self._to_request(key, invite)
+        if len(self.legs) >= self._config.calls_most:
+            transaction.respond(503, [BUSY_RETRY], to_tag=self.new_tag())
+            return
+        leg = self.legs[key] = CallerLeg(self, key, invite, transaction.hop)
+        leg.join(transaction, transaction.hop)
+        self.calls.offer(request, leg)
+
+    def _to_request(self, key: LegKey, invite: Message) -> Request:
+        kind = self._classes.get(invite.get("P-Kind") or self._config.default_class)
+        if kind is None:
+            raise BadMessage(400, "P-Kind names no class", invite)
+        number = user_of(invite.uri)
+        if not number:
+            raise BadMessage(416 if not invite.uri.lower().startswith("sip") else 400, "no number", invite)
+        if not hop_of(of_request(invite, "").target, transport_of(invite)):
+            raise BadMessage(400, "Contact names no address", invite)
+        try:
+            description = bytes(invite.body).decode()
+        except UnicodeDecodeError as fault:
+            raise BadMessage(488, "the description is not UTF-8", invite) from fault
+        expires = invite.number("Expires")
+        budget = kind.deadline if expires is None else min(expires * SECOND, EXPIRES_MOST)
+        return Request(
+            id="\x1f".join(map(str, key)),
+            call_class=kind.index,
+            class_name=kind.name,
+            number=number,
+            budget=max(budget - self._margin, timedelta(0)),
+            taken_at=self.clock(),
+            destination=destination_of(invite.get("P-Path")),
+            redialled=invite.get("P-Second-Try") == "1",
+            description=description,
+        )
+
+    def _cancel(self, transaction: ServerTransaction, cancel: Message) -> None:
+        leg = self.legs.get(leg_key(cancel))
+        if leg is None:
+            transaction.respond(481, [], to_tag=self.new_tag())
+            return
+        transaction.respond(200, [], to_tag=leg.tag)
+        if leg.final is None:  # else it crossed the answer and changes nothing (9.2)
+            self.calls.caller_left(leg.call_id)
+
+    def _in_dialog(self, transaction: ServerTransaction, request: Message) -> None:
+        leg = self.dialogs.get(id_of_request(request))
+        if leg is None:
+            if not self._servers.take_request(transaction, request):
+                transaction.respond(481, [])
+            return
+        leg.hop = transaction.hop
+        if leg.over:
+            transaction.respond(200 if request.method == "BYE" else 481, [])
+        elif not leg.dialog.in_order(request.cseq()[0]):
+            transaction.respond(500, [])
+        elif request.method == "BYE":
+            transaction.respond(200, [])
+            leg.end()
+            self.calls.caller_released(leg.call_id, q850_cause(request.get("Reason"), NORMAL_CLEARING))
+        elif request.method == "OPTIONS":
+            transaction.respond(200, [ALLOW])
+        elif request.method == "INVITE":  # the description of a standing call is not changed
+            transaction.respond(488, [])
+        else:
+            transaction.respond(405 if request.method in KNOWN_METHODS else 501, [ALLOW])
+
+    def ack(self, ack: Message, hop: Hop) -> None:
+        """The ACK of a 200."""
+        leg = self.dialogs.get(id_of_request(ack))
+        if leg is not None:
+            leg.ack(hop)
+
+    # --- for legs
+
+    def stands(self, leg: CallerLeg) -> None:
+        """Its dialog is there from the 200 on."""
+        self.dialogs[leg.dialog.id] = leg
+
+    def forget_later(self, leg: CallerLeg) -> None:
+        """Know the leg for as long as copies may come."""
+
+        def forget() -> None:
+            self.legs.pop(leg.key, None)
+            self.dialogs.pop(leg.dialog.id, None)
+
+        self.layer.later(self.layer.timers.whole, forget)
+
+    def contact(self, hop: Hop) -> str:
+        """Our Contact towards a caller."""
+        return self.layer.transport.contact(hop.transport)
+
+    def hop_for(self, leg: CallerLeg) -> Hop:
+        """Where requests to the caller go: by its Contact and route set, on its connection if that is TCP."""
+        uri = leg.dialog.next_hop()
+        hop = hop_of(uri, leg.hop.transport)
+        if hop is None or not self.layer.transport.serves(hop.transport):
+            return leg.hop
+        if leg.hop.connection is not None and hop.transport == "tcp" and not leg.dialog.routes:
+            return Hop("tcp", hop.address, leg.hop.connection, hop.address)
+        return hop
+
+
+def leg_key(message: Message) -> LegKey:
+    """What an INVITE, and its CANCEL, are known by on either transport."""
+    return (message.get("Call-ID"), parameter(message.get("From"), "tag"), message.cseq()[0])
+
+
+def transport_of(message: Message) -> str:
+    """The transport that a request names in its topmost Via."""
+    return message.get("Via").partition(";")[0].partition(" ")[0].rpartition("/")[2].lower() or "udp"
+
+
+def check(request: Message) -> None:
+    """What every request must hold (section 8.1.1); BadMessage names what is wrong."""
+    for name in MANDATORY:
+        if not request.get(name):
+            raise BadMessage(400, f"{name} is missing", request)
+    if request.cseq()[1] != request.method:
+        raise BadMessage(400, "CSeq names another method", request)
+    if not parameter(request.get("From"), "tag"):
+        raise BadMessage(400, "From has no tag", request)
+    if request.uri.partition(":")[0].lower() not in ("sip", "sips"):
+        raise BadMessage(416, "not a SIP URI", request)
+    if request.number("Max-Forwards") == 0 and request.method != "OPTIONS":
+        raise BadMessage(483, "too many hops", request)
+
+
--- a/mallowquay/net/sip/message.py
+++ b/mallowquay/net/sip/message.py
@@ -34,6 +34,7 @@
     480: "Temporarily Unavailable",
     481: "Call/Transaction Does Not Exist",
     482: "Loop Detected",
+    483: "Too Many Hops",
     486: "Busy Here",
     487: "Request Terminated",
     488: "Not Acceptable Here",
@@ -254,3 +255,15 @@
         if name.lower() == "cause" and value.isascii() and value.isdigit() and len(value) < 6:
             return int(value)
     return default
+
+
+def destination_of(path: str) -> int:
+    """`dest` of P-Path: the number of the log server of first choice; -1 if it is not told."""
+    for part in path.split(";"):
+        name, _, value = part.strip().partition(":")
+        if name == "dest":
+            try:
+                return int(float(value))
+            except (ValueError, OverflowError):
+                return -1
+    return -1
--- /dev/null
+++ b/mallowquay/net/sip/servers.py
@@ -0,0 +1,245 @@
+"""Log servers that speak SIP: the client side of the back-to-back user agent."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from ...core.calls import Calls
+from ...core.model import Attempt, Clock, Ending, Server, ServerStatus
+from ..load import read_load
+from ..roster import Roster
+from ..statuses import ENDINGS, NORMAL_CLEARING, release_ending
+from .dialogs import Dialog, DialogId, id_of_request, of_response
+from .message import BadMessage, Header, Message, q850_cause, write_request
+from .transactions import (
+    ClientTransaction,
+    InviteClient,
+    NonInviteClient,
+    ServerTransaction,
+    State,
+    Transactions,
+)
+from .transport import Hop, hop_of
+
+log = logging.getLogger(__name__)
+
+SECOND, MILLISECOND = timedelta(seconds=1), timedelta(milliseconds=1)
+
+
+class Quiet:
+    """Takes what comes of a request whose end changes nothing, as a BYE or a CANCEL."""
+
+    def responded(self, transaction: ClientTransaction, response: Message) -> None:
+        """Heard."""
+
+    def unanswered(self, transaction: ClientTransaction, ending: Ending) -> None:
+        """Nobody is there any more."""
+        log.debug("%s was not answered: %s", transaction.method, ending.value)
+
+
+QUIET = Quiet()
+
+
+class ServerLeg:
+    """One attempt at one log server, and the dialogs that its answers make."""
+
+    def __init__(self, side: SipServers, attempt: Attempt, hop: Hop) -> None:
+        self.side, self.attempt, self.hop = side, attempt, hop
+        self.withdrawn = self.cancelled = False
+        self.acks: dict[DialogId, tuple[Hop, list[bytes]]] = {}  # sent again with each copy of a 2xx
+        self.dialog: Dialog | None = None  # of the call that stands
+        self.invite: InviteClient | None = None
+        self.local = ""
+
+    def start(self) -> None:
+        """Send the INVITE."""
+        side, request = self.side, self.attempt.request
+        host, port = self.hop.address
+        left = max(self.attempt.wait - (side.clock() - self.attempt.sent_at), timedelta(0))
+        own_host, own_port = side.layer.transport.local(self.hop.transport)
+        self.local = f"<sip:gatekeeper@{own_host}:{own_port}>;tag={side.new_tag()}"
+        headers: list[Header] = [
+            ("Max-Forwards", "70"),
+            ("From", self.local),
+            ("To", f"<sip:{request.number}@{host}:{port}>"),
+            ("Call-ID", f"{side.new_tag()}@{own_host}"),
+            ("CSeq", "1 INVITE"),
+            ("Contact", side.layer.transport.contact(self.hop.transport)),
+            ("Expires", str(-(-left // SECOND))),
+            ("P-Kind", request.class_name),
+            ("P-Time-Left", str(left // MILLISECOND)),
+        ]
+        body = request.description.encode()
+        if body:
+            headers.append(("Content-Type", "application/sdp"))
+        uri = f"sip:{request.number}@{host}:{port}"
+        self.invite = InviteClient(side.layer, "INVITE", uri, headers, self.hop, self, body)
+        self.invite.start()
+
+    def withdraw(self) -> None:
+        """Give the set-up up: CANCEL as soon as it may be sent, and BYE should a 200 come after all."""
+        self.withdrawn = True
+        invite = self.invite
+        if invite is None:
+            return
+        if invite.state is State.PROCEEDING:
+            self._cancel(invite)
+        elif invite.state is State.CALLING:
+            invite.quiesce()
+
+    def _cancel(self, invite: InviteClient) -> None:
+        if not self.cancelled:
+            self.cancelled = True
+            invite.cancel(QUIET)
+
+    # --- what comes of the INVITE
+
+    def responded(self, transaction: ClientTransaction, response: Message) -> None:
+        """A response of the log server."""
+        if response.status < 200:
+            if self.withdrawn and isinstance(transaction, InviteClient):
+                self._cancel(transaction)
+        elif response.status < 300:
+            self.accepted(response)
+        elif not self.withdrawn:
+            ending = ENDINGS.get(response.status, Ending.FAULT)
+            self.side.calls.ended(self.attempt, ending, read_load(response.get("P-Load")))
+
+    def unanswered(self, transaction: ClientTransaction, ending: Ending) -> None:
+        """The INVITE was not answered, or its connection broke."""
+        if not self.withdrawn:
+            self.side.calls.ended(self.attempt, ending)
+
+    def accepted(self, response: Message) -> None:
+        """A 2xx, or a copy of one: always acknowledged; what nobody waits for is closed with BYE."""
+        dialog = of_response(response, self.invite.uri if self.invite else "")
+        known = self.acks.get(dialog.id)
+        if known is not None:
+            self.side.layer.transport.send(*known)
+            return
+        hop = self.side.hop_to(dialog, self.hop)
+        uri, headers = dialog.request("ACK", response.cseq()[0])
+        branch = self.side.layer.new_branch()
+        via = f"{self.side.layer.transport.via(hop)};branch={branch};rport"
+        ack = (hop, write_request("ACK", uri, [("Via", via), *headers]))
+        self.acks[dialog.id] = ack
+        self.side.layer.transport.send(*ack)
+        self.side.dialogs[dialog.id] = self
+        if self.dialog is None and not self.withdrawn:
+            self.dialog = dialog
+            description = bytes(response.body).decode("utf-8", "replace")
+            if self.side.calls.stood(self.attempt, description, read_load(response.get("P-Load"))):
+                return
+            self.dialog = None
+        self.side.bye(dialog, hop, NORMAL_CLEARING)
+        self.side.forget_later(self)
+
+    def over(self, cause: int | None) -> None:
+        """The call that stands is over; `cause` is told to the log server unless it told us."""
+        dialog, self.dialog = self.dialog, None
+        if dialog is not None and cause is not None:
+            self.side.bye(dialog, self.side.hop_to(dialog, self.hop), cause)
+        self.side.forget_later(self)
+
+
+class SipServers(Roster):
+    """All log servers of the list, by SIP."""
+
+    def __init__(self, calls: Calls, layer: Transactions, clock: Clock, new_tag: Callable[[], str]) -> None:
+        super().__init__(calls)
+        self.layer, self.clock, self.new_tag = layer, clock, new_tag
+        self.dialogs: dict[DialogId, ServerLeg] = {}
+        layer.on_stray_response = self._stray
+
+    # --- the core's side
+
+    def start(self, attempt: Attempt) -> None:
+        """Send a set-up."""
+        server = self.servers.get(attempt.server)
+        if server is None or server.status is not ServerStatus.READY:
+            self.calls.ended(attempt, Ending.MOOT)
+            return
+        leg = ServerLeg(self, attempt, Hop(server.transport, server.address))
+        attempt.leg = leg
+        leg.start()
+
+    def withdraw(self, attempt: Attempt) -> None:
+        """Give a set-up up."""
+        if isinstance(attempt.leg, ServerLeg):
+            attempt.leg.withdraw()
+
+    def release(self, attempt: Attempt, cause: int) -> None:
+        """Release a standing call."""
+        if isinstance(attempt.leg, ServerLeg):
+            attempt.leg.over(cause)
+
+    def hang_up(self, attempt: Attempt) -> None:
+        """The list says that the call's log server is gone: should it live on, it is told too."""
+        self.release(attempt, NORMAL_CLEARING)
+
+    def closing(self, server: Server) -> None:
+        """A server takes nothing new any more: an INVITE that it has not heard must not be sent again."""
+        for attempt in self.calls.trying_at(server.id):
+            leg = attempt.leg
+            if isinstance(leg, ServerLeg) and leg.invite and leg.invite.state is State.CALLING:
+                leg.withdraw()
+                self.calls.ended(attempt, Ending.WITHDRAWN)
+
+    # --- what comes in
+
+    def take_request(self, transaction: ServerTransaction, request: Message) -> bool:
+        """A request in a dialog with a log server; False if it belongs to none."""
+        leg = self.dialogs.get(id_of_request(request))
+        if leg is None:
+            return False
+        dialog = leg.dialog
+        if request.method != "BYE":
+            transaction.respond(200 if request.method == "OPTIONS" else 488, [])
+        elif dialog is not None and not dialog.in_order(request.cseq()[0]):
+            transaction.respond(500, [])
+        else:
+            transaction.respond(200, [])
+            if dialog is not None:
+                cause = q850_cause(request.get("Reason"), NORMAL_CLEARING)
+                leg.over(None)
+                load = read_load(request.get("P-Load"))
+                self.calls.ended(leg.attempt, release_ending(cause), load)
+        return True
+
+    def _stray(self, response: Message, hop: Hop) -> None:
+        """A 2xx whose transaction has ended: a copy, or one that came after all hope."""
+        dialog = of_response(response, "")
+        leg = self.dialogs.get(dialog.id)
+        if leg is not None:
+            leg.accepted(response)
+            return
+        if not dialog.target:
+            raise BadMessage(0, "a 2xx without Contact")
+        uri, headers = dialog.request("ACK", response.cseq()[0])
+        via = f"{self.layer.transport.via(hop)};branch={self.layer.new_branch()};rport"
+        self.layer.transport.send(hop, write_request("ACK", uri, [("Via", via), *headers]))
+        self.bye(dialog, hop, NORMAL_CLEARING)
+
+    # --- helpers
+
+    def hop_to(self, dialog: Dialog, default: Hop) -> Hop:
+        """Where requests of a dialog go."""
+        hop = hop_of(dialog.next_hop(), default.transport)
+        return hop if hop is not None and self.layer.transport.serves(hop.transport) else default
+
+    def bye(self, dialog: Dialog, hop: Hop, cause: int) -> None:
+        """Close a dialog."""
+        uri, headers = dialog.request("BYE")
+        headers.append(("Reason", f"Q.850;cause={cause}"))
+        NonInviteClient(self.layer, "BYE", uri, headers, hop, QUIET).start()
+
+    def forget_later(self, leg: ServerLeg) -> None:
+        """Keep a dialog for copies of its 2xx, then forget it."""
+
+        def forget() -> None:
+            for name in leg.acks:
+                self.dialogs.pop(name, None)
+
+        self.layer.later(self.layer.timers.whole, forget)
--- /dev/null
+++ b/mallowquay/net/sip/transactions.py
@@ -0,0 +1,407 @@
+"""The four transaction machines of RFC 3261, section 17, with the changes of RFC 6026."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import Protocol
+
+from ...core.model import Ending
+from .message import Header, Message, copied_headers, write_request, write_response
+from .transport import Address, Hop, Transport, parameter, stamped
+
+COOKIE = "z9hG4bK"
+
+
+@dataclass(frozen=True, slots=True)
+class Timers:
+    """The base timers; all others follow from them."""
+
+    t1: timedelta = timedelta(milliseconds=500)
+    t2: timedelta = timedelta(seconds=4)
+    t4: timedelta = timedelta(seconds=5)
+
+    @property
+    def whole(self) -> timedelta:
+        """Timers B, F, H, J, L and M."""
+        return 64 * self.t1
+
+
+class Handle(Protocol):
+    """A timer that was set."""
+
+    def cancel(self) -> None:
+        """Stop it; nothing happens if it has gone off."""
+
+
+Later = Callable[[timedelta, Callable[[], None]], Handle]
+
+
+class State(Enum):
+    """The states of all four machines."""
+
+    CALLING = "calling"
+    TRYING = "trying"
+    PROCEEDING = "proceeding"
+    ACCEPTED = "accepted"
+    COMPLETED = "completed"
+    CONFIRMED = "confirmed"
+    TERMINATED = "terminated"
+
+
+class Transaction:
+    """What the four machines share: one state, and timers by name."""
+
+    def __init__(self, layer: Transactions, key: tuple[str, ...], state: State) -> None:
+        self.layer, self.key, self.state = layer, key, state
+        self._timers: dict[str, Handle] = {}
+
+    def set(self, name: str, delay: timedelta, action: Callable[[], None]) -> None:
+        """Start a timer, stopping the one of this name."""
+        self.stop(name)
+        self._timers[name] = self.layer.later(delay, action)
+
+    def stop(self, *names: str) -> None:
+        """Stop timers."""
+        for name in names:
+            timer = self._timers.pop(name, None)
+            if timer is not None:
+                timer.cancel()
+
+    def terminate(self) -> None:
+        """Leave the layer."""
+        self.state = State.TERMINATED
+        self.stop(*list(self._timers))
+        self.layer.remove(self)
+
+    def linger(self, name: str, delay: timedelta, reliable: bool) -> None:
+        """Stay for late copies, not at all on a reliable transport."""
+        if reliable:
+            self.terminate()
+        else:
+            self.set(name, delay, self.terminate)
+
+
+# --- servers -------------------------------------------------------------------------------------
+
+
+class ServerTransaction(Transaction):
+    """A request that came in; `hop` is where its responses go."""
+
+    def __init__(self, layer: Transactions, key: tuple[str, ...], request: Message, hop: Hop) -> None:
+        super().__init__(layer, key, State.TRYING)
+        self.hop, self.method = hop, request.method
+        self.copied = stamped(copied_headers(request), hop)
+        self.last: list[bytes] = []  # the response that a copy of the request is answered with
+
+    def respond(self, status: int, extra: list[Header], body: bytes = b"", to_tag: str = "") -> None:
+        """Send a response; at most one final one."""
+        copied = self.copied
+        if to_tag and status > 100:
+            copied = [(n, v if n != "To" or ";tag=" in v else f"{v};tag={to_tag}") for n, v in copied]
+        self._respond(status, write_response(status, copied, extra, body))
+
+    def _respond(self, status: int, parts: list[bytes]) -> None:
+        raise NotImplementedError
+
+    def resend(self) -> None:
+        """Send the last response once more."""
+        if self.last:
+            self.layer.transport.send(self.hop, self.last)
+
+    def repeated(self) -> None:
+        """The same request came again."""
+        self.resend()
+
+
+class NonInviteServer(ServerTransaction):
+    """Figure 8 of RFC 3261."""
+
+    def _respond(self, status: int, parts: list[bytes]) -> None:
+        if self.state not in (State.TRYING, State.PROCEEDING):
+            return
+        self.last = parts
+        self.resend()
+        if status < 200:
+            self.state = State.PROCEEDING
+        else:
+            self.state = State.COMPLETED
+            self.linger("J", self.layer.timers.whole, self.hop.reliable)
+
+
+class InviteServer(ServerTransaction):
+    """Figure 7 of RFC 3261, with the Accepted state of RFC 6026."""
+
+    def __init__(self, layer: Transactions, key: tuple[str, ...], request: Message, hop: Hop) -> None:
+        super().__init__(layer, key, request, hop)
+        self.state = State.PROCEEDING
+
+    def _respond(self, status: int, parts: list[bytes]) -> None:
+        if self.state is not State.PROCEEDING:
+            return
+        self.last = parts
+        self.resend()
+        timers = self.layer.timers
+        if 200 <= status < 300:  # its user sends it again until the ACK comes
+            self.state = State.ACCEPTED
+            self.set("L", timers.whole, self.terminate)
+        elif status >= 300:
+            self.state = State.COMPLETED
+            self.set("H", timers.whole, self.terminate)
+            if not self.hop.reliable:
+                self._again(timers.t1)
+
+    def _again(self, gap: timedelta) -> None:
+        def fire() -> None:
+            self.resend()
+            self._again(min(2 * gap, self.layer.timers.t2))
+
+        self.set("G", gap, fire)
+
+    def repeated(self) -> None:
+        """A copy of the INVITE: answered in Proceeding and Completed, absorbed in Accepted."""
+        if self.state in (State.PROCEEDING, State.COMPLETED):
+            self.resend()
+
+    def acknowledged(self) -> None:
+        """The ACK of a final response other than 2xx."""
+        if self.state is State.COMPLETED:
+            self.stop("G", "H")
+            self.state = State.CONFIRMED
+            self.linger("I", self.layer.timers.t4, self.hop.reliable)
+
+
+# --- clients -------------------------------------------------------------------------------------
+
+
+class ClientUser(Protocol):
+    """Who is told what comes of a request."""
+
+    def responded(self, transaction: ClientTransaction, response: Message) -> None:
+        """A response; a 2xx to INVITE comes with each of its copies."""
+
+    def unanswered(self, transaction: ClientTransaction, ending: Ending) -> None:
+        """No final response came, or the transport failed."""
+
+
+class ClientTransaction(Transaction):
+    """A request that went out."""
+
+    def __init__(
+        self,
+        layer: Transactions,
+        method: str,
+        uri: str,
+        headers: list[Header],
+        hop: Hop,
+        user: ClientUser,
+        body: bytes = b"",
+        branch: str = "",
+    ) -> None:
+        self.branch = branch or layer.new_branch()
+        first = State.CALLING if method == "INVITE" else State.TRYING
+        super().__init__(layer, (self.branch, method), first)
+        self.method, self.uri, self.hop, self.user = method, uri, hop, user
+        self.headers = [("Via", f"{layer.transport.via(hop)};branch={self.branch};rport"), *headers]
+        self.parts = write_request(method, uri, self.headers, [], body)
+
+    def start(self) -> None:
+        """Send the request and start its timers."""
+        timers = self.layer.timers
+        self.layer.add_client(self)
+        self.set("B", timers.whole, lambda: self._give_up(Ending.TIMED_OUT))
+        if not self.hop.reliable:
+            self._again(timers.t1)
+        self.layer.transport.send(self.hop, self.parts, self.transport_failed)
+
+    def quiesce(self) -> None:
+        """Send no more copies: what was given up must not arrive anew."""
+        self.stop("A")
+
+    def _again(self, gap: timedelta) -> None:
+        def fire() -> None:
+            self.layer.transport.send(self.hop, self.parts, self.transport_failed)
+            most = 2 * gap if self.method == "INVITE" else min(2 * gap, self.layer.timers.t2)
+            self._again(self.layer.timers.t2 if self.state is State.PROCEEDING else most)
+
+        self.set("A", gap, fire)
+
+    def transport_failed(self, ending: Ending) -> None:
+        """The request could not be sent, or the connection that its response was due on is gone."""
+        if self.state in (State.CALLING, State.TRYING, State.PROCEEDING):
+            self._give_up(ending)
+
+    def _give_up(self, ending: Ending) -> None:
+        self.terminate()
+        self.user.unanswered(self, ending)
+
+    def received(self, response: Message) -> None:
+        """A response that matches this transaction."""
+        raise NotImplementedError
+
+
+class NonInviteClient(ClientTransaction):
+    """Figure 6 of RFC 3261."""
+
+    def received(self, response: Message) -> None:
+        """Provisional responses slow the copies down; a final one ends them."""
+        if self.state not in (State.TRYING, State.PROCEEDING):
+            return
+        if response.status < 200:
+            self.state = State.PROCEEDING
+            return
+        self.state = State.COMPLETED
+        self.stop("A", "B")
+        self.linger("K", self.layer.timers.t4, self.hop.reliable)
+        self.user.responded(self, response)
+
+
+class InviteClient(ClientTransaction):
+    """Figure 5 of RFC 3261, with the Accepted state of RFC 6026."""
+
+    def received(self, response: Message) -> None:
+        """Every 2xx goes up; other final responses are acknowledged here."""
+        status = response.status
+        if self.state in (State.CALLING, State.PROCEEDING):
+            self.stop("A")
+            if status < 200:
+                self.state = State.PROCEEDING
+            elif status < 300:
+                self.state = State.ACCEPTED
+                self.stop("B")
+                self.set("M", self.layer.timers.whole, self.terminate)
+            else:
+                self.state = State.COMPLETED
+                self.stop("B")
+                self._acknowledge(response)
+                self.linger("D", self.layer.timers.whole, self.hop.reliable)
+            self.user.responded(self, response)
+        elif self.state is State.ACCEPTED and 200 <= status < 300:
+            self.user.responded(self, response)
+        elif self.state is State.COMPLETED and status >= 300:
+            self._acknowledge(response)
+
+    def _acknowledge(self, response: Message) -> None:
+        headers = []
+        for name, value in self.headers:
+            if name == "To":
+                value = response.get("To")
+            elif name == "CSeq":
+                value = value.replace("INVITE", "ACK")
+            if name in ("Via", "From", "To", "Call-ID", "CSeq", "Route", "Max-Forwards"):
+                headers.append((name, value))
+        self.layer.transport.send(self.hop, write_request("ACK", self.uri, headers))
+
+    def cancel(self, user: ClientUser) -> None:
+        """Send a CANCEL, which repeats this branch; only once a provisional response has come."""
+        headers = []
+        for name, value in self.headers[1:]:
+            if name in ("From", "To", "Call-ID", "CSeq", "Route", "Max-Forwards"):
+                headers.append((name, value.replace("INVITE", "CANCEL") if name == "CSeq" else value))
+        cancel = NonInviteClient(
+            self.layer, "CANCEL", self.uri, headers, self.hop, user, branch=self.branch
+        )
+        cancel.start()
+        # A far end that knows no CANCEL must not keep this transaction for ever.
+        self.set("B", self.layer.timers.whole, lambda: self._give_up(Ending.TIMED_OUT))
+
+
+# --- the layer -----------------------------------------------------------------------------------
+
+RequestUser = Callable[[ServerTransaction, Message], None]
+StrayUser = Callable[[Message, Hop], None]
+
+
+class Transactions:
+    """Matches messages to transactions (section 17.1.3 and 17.2.3)."""
+
+    def __init__(
+        self, transport: Transport, timers: Timers, later: Later, new_branch: Callable[[], str], most: int
+    ) -> None:
+        self.transport, self.timers, self.later, self._most = transport, timers, later, most
+        self._new_branch = new_branch
+        self.servers: dict[tuple[str, ...], ServerTransaction] = {}
+        self.clients: dict[tuple[str, ...], ClientTransaction] = {}
+        self.on_request: RequestUser = lambda transaction, request: None
+        self.on_ack: StrayUser = lambda ack, hop: None  # the ACK of a 2xx
+        self.on_stray_response: StrayUser = lambda response, hop: None
+        self.turned_away = 0
+
+    def new_branch(self) -> str:
+        """A branch that no other transaction has."""
+        return COOKIE + self._new_branch()
+
+    def add_client(self, transaction: ClientTransaction) -> None:
+        """A client transaction begins."""
+        self.clients[transaction.key] = transaction
+
+    def remove(self, transaction: Transaction) -> None:
+        """A transaction has ended."""
+        table: dict[tuple[str, ...], Transaction]
+        table = self.servers if isinstance(transaction, ServerTransaction) else self.clients  # type: ignore
+        if table.get(transaction.key) is transaction:
+            del table[transaction.key]
+
+    def connection_lost(self, address: Address, ending: Ending) -> None:
+        """A connection that went out from here is gone, and the responses due on it."""
+        for client in list(self.clients.values()):
+            if client.hop.reliable and client.hop.address == address:
+                client.transport_failed(ending)
+
+    def take(self, message: Message, hop: Hop) -> None:
+        """One message from the transport."""
+        if message.status:
+            self._response(message, hop)
+        else:
+            self._request(message, hop)
+
+    def _response(self, message: Message, hop: Hop) -> None:
+        branch = parameter(message.get("Via"), "branch")
+        transaction = self.clients.get((branch, message.cseq()[1]))
+        if transaction is not None:
+            transaction.received(message)
+        elif 200 <= message.status < 300 and message.cseq()[1] == "INVITE":
+            self.on_stray_response(message, hop)
+
+    def _request(self, message: Message, hop: Hop) -> None:
+        method = message.method
+        key = server_key(message, "INVITE" if method == "ACK" else method)
+        known = self.servers.get(key)
+        if method == "ACK":
+            if isinstance(known, InviteServer) and known.state is not State.ACCEPTED:
+                known.acknowledged()
+            else:
+                self.on_ack(message, hop)
+            return
+        if known is not None:
+            known.repeated()
+            return
+        kind = InviteServer if method == "INVITE" else NonInviteServer
+        transaction = kind(self, key, message, hop)
+        if len(self.servers) >= self._most:
+            # Without a transaction of its own: its state is what there is no room for.
+            self.turned_away += 1
+            parts = write_response(503, transaction.copied, [("Retry-After", "2")])
+            self.transport.send(hop, parts)
+            return
+        self.servers[key] = transaction
+        self.on_request(transaction, message)
+
+    def invite_of(self, cancel: Message) -> InviteServer | None:
+        """The INVITE that a CANCEL means, by its branch."""
+        found = self.servers.get(server_key(cancel, "INVITE"))
+        return found if isinstance(found, InviteServer) else None
+
+
+def server_key(message: Message, method: str) -> tuple[str, ...]:
+    """What identifies a server transaction: branch and sent-by; for old clients, what 17.2.3 lists."""
+    via = message.get("Via")
+    branch = parameter(via, "branch")
+    sent_by = via.partition(";")[0].split()[-1:]
+    if branch.startswith(COOKIE):
+        return (branch, *sent_by, method)
+    number = message.cseq()[0]
+    from_tag = parameter(message.get("From"), "tag")
+    return (via, message.get("Call-ID"), from_tag, str(number), method)
--- /dev/null
+++ b/mallowquay/net/sip/transport.py
@@ -0,0 +1,367 @@
+"""SIP over UDP and TCP (RFC 3261, section 18; symmetric responses after RFC 3581)."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+from tornado import gen
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.tcpserver import TCPServer
+from tornado.util import TimeoutError as TornadoTimeout
+
+from ...config import OTHER
+from ...core.model import Ending
+from ..streams import (
+    MESSAGE_MOST,
+    WRITE_BUFFER_MOST,
+    MessageBuffer,
+    TooLong,
+    close_ending,
+    fill,
+    gathered_write,
+    new_socket,
+    quiet,
+)
+from .message import SIP_VERSION, BadMessage, Header, Message, copied_headers, parse, write_response
+
+log = logging.getLogger(__name__)
+
+Address = tuple[str, int]
+Failed = Callable[[Ending], None]
+DATAGRAMS_AT_ONCE = 64  # then other work gets its turn
+DEFAULT_PORT = 5060
+WAITING_MOST = 256  # messages kept while a connection comes up
+RECEIVE_BUFFER = 4 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Hop:
+    """Where a message goes, or came from: an address, and the connection that it came on."""
+
+    transport: str
+    address: Address
+    connection: Connection | None = None
+    fallback: Address | None = None  # for responses once that connection has closed
+
+    @property
+    def reliable(self) -> bool:
+        """Whether the transport sends again by itself."""
+        return self.transport == "tcp"
+
+
+class Connection:
+    """One TCP connection, whoever opened it."""
+
+    def __init__(self, stream: IOStream, address: Address, outgoing: bool) -> None:
+        self.stream, self.address, self.outgoing = stream, address, outgoing
+        self.buffer = MessageBuffer()
+
+    def write(self, parts: list[bytes]) -> bool:
+        """Send a message; False if the connection is gone."""
+        return gathered_write(self.stream, parts)
+
+
+class Transport:
+    """Both transports of one host and port each; messages go up to `take`."""
+
+    def __init__(self, loop: IOLoop, connect_timeout: timedelta, connections_most: int) -> None:
+        self._loop, self._connect_timeout, self._most = loop, connect_timeout, connections_most
+        self.take: Callable[[Message, Hop], None] = lambda message, hop: None
+        self.lost: Callable[[Address, Ending], None] = lambda address, ending: None
+        self._udp: socket.socket | None = None
+        self._datagram = bytearray(MESSAGE_MOST + 1)
+        self._local: dict[str, Address] = {}
+        self._connections: set[Connection] = set()
+        self._out: dict[Address, Connection] = {}
+        self._coming: dict[Address, list[tuple[list[bytes], Failed | None]]] = {}
+        self._tasks: set[asyncio.Future[Any]] = set()
+        self._server: _Listener | None = None
+        self.garbage = 0
+
+    # --- listening
+
+    def listen_udp(self, address: Address) -> None:
+        """Receive datagrams at this address."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        sock.bind(address)
+        self._udp, self._local["udp"] = sock, sock.getsockname()
+        self._loop.add_handler(sock, self._readable, IOLoop.READ)
+
+    def listen_tcp(self, address: Address) -> None:
+        """Accept connections at this address."""
+        self._server = _Listener(self)
+        sockets = bind_sockets(address[1], address[0], backlog=512)
+        self._local["tcp"] = sockets[0].getsockname()[:2]
+        self._server.add_sockets(sockets)
+
+    def local(self, transport: str) -> Address:
+        """Where this host listens; the other transport's address where this one is off."""
+        return self._local.get(transport) or self._local[OTHER[transport]]
+
+    def listening(self) -> dict[str, Address]:
+        """Where this host listens, by transport."""
+        return dict(self._local)
+
+    def serves(self, transport: str) -> bool:
+        """Whether this transport is on."""
+        return transport in self._local
+
+    def via(self, hop: Hop) -> str:
+        """The Via of a request that leaves by this hop, without its parameters."""
+        host, port = self.local(hop.transport)
+        return f"SIP/2.0/{hop.transport.upper()} {host}:{port}"
+
+    def contact(self, transport: str) -> str:
+        """The Contact of this host."""
+        host, port = self.local(transport)
+        return f"<sip:gatekeeper@{host}:{port};transport={transport}>"
+
+    # --- sending
+
+    def send(self, hop: Hop, parts: list[bytes], failed: Failed | None = None) -> None:
+        """Send a message; `failed` is told if it certainly did not leave."""
+        if hop.transport == "udp":
+            self._send_datagram(hop.address, parts, failed)
+        elif hop.connection is None or not hop.connection.write(parts):
+            address = hop.address if hop.connection is None else hop.fallback
+            if address is None:
+                self._fail(failed, Ending.CONNECTION_RESET)
+            else:
+                self._send_anew(address, parts, failed)
+
+    def _fail(self, failed: Failed | None, ending: Ending) -> None:
+        if failed is not None:  # not within the call that sent it
+            self._loop.add_callback(failed, ending)
+
+    def _send_datagram(self, address: Address, parts: list[bytes], failed: Failed | None) -> None:
+        try:
+            if self._udp is None:
+                raise OSError("UDP is off")
+            self._udp.sendmsg(parts, [], 0, address)
+        except BlockingIOError:
+            pass  # as good as lost on the way: it is sent again
+        except OSError as fault:
+            log.info("no datagram to %s:%d: %s", *address, fault)
+            self._fail(failed, Ending.CONNECTION_REFUSED)
+
+    def _send_anew(self, address: Address, parts: list[bytes], failed: Failed | None) -> None:
+        known = self._out.get(address)
+        if known is not None and known.write(parts):
+            return
+        waiting = self._coming.get(address)
+        if waiting is not None:
+            if len(waiting) >= WAITING_MOST:
+                self._fail(failed, Ending.CONNECTION_SILENT)
+            else:
+                waiting.append((parts, failed))
+            return
+        if len(self._connections) + len(self._coming) >= self._most:
+            self._fail(failed, Ending.CONNECTION_SILENT)
+            return
+        self._coming[address] = [(parts, failed)]
+        self.spawn(self._connect(address))
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine; a fault in it is logged."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Future[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (fault := task.exception()) is not None:
+            log.error("a connection failed", exc_info=fault)
+
+    async def _connect(self, address: Address) -> None:
+        stream = IOStream(new_socket(), max_buffer_size=WRITE_BUFFER_MOST)
+        ending: Ending | None = None
+        try:
+            await gen.with_timeout(self._connect_timeout, stream.connect(address))
+        except TornadoTimeout:
+            ending = Ending.CONNECTION_SILENT
+            stream.close()
+        except StreamClosedError:
+            ending = Ending.CONNECTION_REFUSED
+        waiting = self._coming.pop(address)
+        if ending is not None:
+            for _, failed in waiting:
+                self._fail(failed, ending)
+            return
+        connection = self._out[address] = Connection(quiet(stream), address, outgoing=True)
+        for parts, _ in waiting:
+            connection.write(parts)
+        await self.read(connection)
+
+    # --- receiving
+
+    async def read(self, connection: Connection) -> None:
+        """Read one connection until it closes or can no longer be followed."""
+        if len(self._connections) >= self._most:
+            connection.stream.close()
+            return
+        self._connections.add(connection)
+        stream, buffer = connection.stream, connection.buffer
+        stream.max_write_buffer_size = WRITE_BUFFER_MOST
+        ending: Ending | None = None
+        try:
+            while True:
+                await fill(stream, buffer)
+                self._take_all(connection)
+        except StreamClosedError:
+            pass
+        except (TooLong, BadMessage) as fault:
+            self.garbage += 1
+            ending = Ending.UNREADABLE
+            log.warning("closed the connection of %s:%d: %s", *connection.address, fault)
+            if isinstance(fault, BadMessage):
+                self._refuse(fault, Hop("tcp", connection.address, connection))
+        finally:
+            self._connections.discard(connection)
+            stream.close()
+            if self._out.get(connection.address) is connection:
+                del self._out[connection.address]
+        if connection.outgoing:
+            self.lost(connection.address, ending or close_ending(stream))
+
+    def _take_all(self, connection: Connection) -> None:
+        buffer = connection.buffer
+        while buffer.start < buffer.end:
+            message, buffer.start = parse(buffer.data, buffer.start, buffer.end)
+            if message is None:
+                return
+            host, port = connection.address
+            fallback = (host, sent_by_port(message.get("Via"))) if message.method else None
+            self._up(message, Hop("tcp", (host, port), connection, fallback))
+
+    def _readable(self, fd: object, events: int) -> None:
+        assert self._udp is not None
+        for _ in range(DATAGRAMS_AT_ONCE):
+            try:
+                size, address = self._udp.recvfrom_into(self._datagram)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as fault:  # word of an earlier datagram that found nobody
+                log.debug("UDP: %s", fault)
+                continue
+            hop = Hop("udp", address)
+            try:
+                if size > MESSAGE_MOST:
+                    raise BadMessage(0, "the datagram is too long")
+                message, _ = parse(self._datagram, 0, size, datagram=True)
+                if message is not None:
+                    self._up(message, self._reply_hop(message, hop))
+            except BadMessage as fault:
+                self.garbage += 1
+                self._refuse(fault, hop)
+
+    def _reply_hop(self, message: Message, hop: Hop) -> Hop:
+        via = message.get("Via")
+        if message.status or has_parameter(via, "rport"):
+            return hop
+        return Hop("udp", (hop.address[0], sent_by_port(via)))
+
+    def _up(self, message: Message, hop: Hop) -> None:
+        try:
+            if message.method and message.version.upper() != SIP_VERSION:
+                raise BadMessage(505, "not SIP/2.0", message)
+            self.take(message, hop)
+        except BadMessage as fault:  # well framed, yet wrong
+            self.garbage += 1
+            self._refuse(fault, hop)
+
+    def _refuse(self, fault: BadMessage, hop: Hop) -> None:
+        """Answer a bad request without keeping any state, where it says whom to answer."""
+        message = fault.message
+        if message is None or not message.method or message.method == "ACK" or not fault.status:
+            return
+        if message.get("Via"):
+            self.send(hop, write_response(fault.status, stamped(copied_headers(message), hop)))
+
+
+class _Listener(TCPServer):
+    def __init__(self, transport: Transport) -> None:
+        super().__init__(max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
+        self._transport = transport
+
+    async def handle_stream(self, stream: IOStream, address: Address) -> None:
+        await self._transport.read(Connection(quiet(stream), address[:2], outgoing=False))
+
+
+# --- values --------------------------------------------------------------------------------------
+
+
+def parameter(value: str, name: str) -> str:
+    """A parameter behind the address of a header; empty if it is absent."""
+    tail = value.rpartition(">")[2] if ">" in value else value
+    for part in tail.split(";")[1:]:
+        key, _, text = part.strip().partition("=")
+        if key.strip().lower() == name:
+            return text.strip()
+    return ""
+
+
+def has_parameter(value: str, name: str) -> bool:
+    """Whether a parameter is there, with a value or without."""
+    return any(part.strip().partition("=")[0].lower() == name for part in value.split(";")[1:])
+
+
+def split_values(values: list[str]) -> list[str]:
+    """Header values one by one, where several stand in a line with commas outside of < >."""
+    out = []
+    for value in values:
+        depth, start = 0, 0
+        for at, char in enumerate(value):
+            depth += (char == "<") - (char == ">")
+            if char == "," and depth == 0:
+                out.append(value[start:at].strip())
+                start = at + 1
+        out.append(value[start:].strip())
+    return [value for value in out if value]
+
+
+def sent_by_port(via: str) -> int:
+    """The port of a Via's sent-by."""
+    _, _, port = via.partition(";")[0].strip().rpartition(":")
+    return int(port) if port.isascii() and port.isdigit() and 0 < int(port) < 65536 else DEFAULT_PORT
+
+
+def stamped(headers: list[Header], hop: Hop) -> list[Header]:
+    """The headers of a response with `received` and `rport` in the topmost Via."""
+    if not headers or headers[0][0] != "Via":
+        return headers
+    host, port = hop.address
+    first, *others = split_values([headers[0][1]]) or [headers[0][1]]
+    sent_by, *parameters = first.split(";")
+    parameters = [p for p in parameters if p.strip().partition("=")[0].lower() not in ("received", "rport")]
+    if has_parameter(first, "rport"):
+        parameters += [f"received={host}", f"rport={port}"]
+    elif host not in sent_by:
+        parameters.append(f"received={host}")
+    return [("Via", ", ".join([";".join([sent_by, *parameters]), *others])), *headers[1:]]
+
+
+def hop_of(uri: str, default_transport: str) -> Hop | None:
+    """Where a SIP URI leads; None for one that names no numeric host."""
+    scheme, _, rest = uri.partition(":")
+    if scheme.lower() != "sip":
+        return None
+    at = rest.rpartition("@")[2]
+    host, _, port = at.partition(";")[0].partition(":")
+    transport = parameter(uri, "transport").lower() or default_transport
+    try:
+        socket.inet_aton(host)
+    except OSError:
+        return None  # there is no DNS
+    if transport not in OTHER or (port and not (port.isdigit() and 0 < int(port) < 65536)):
+        return None
+    return Hop(transport, (host, int(port) if port else DEFAULT_PORT))
