--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON = $(VENV)/bin/python
 CHECKED = quincestand mallowquay tests
 
-.PHONY: build dev lint test run
+.PHONY: build dev lint test endurance run
 
 build:
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -19,5 +19,8 @@
 test:
 	$(PYTHON) -m pytest -q tests
 
+endurance:
+	$(PYTHON) tests/sip_peers.py --calls 100000
+
 run:
 	exec $(PYTHON) -m mallowquay
--- a/mallowquay/config.py
+++ b/mallowquay/config.py
@@ -252,9 +252,7 @@
     number = entry.get("number", index)
     if not isinstance(number, int) or isinstance(number, bool):
         raise ConfigError(f"{above}number must be int, not {number!r}")
-    return Server(
-        want(entry, "id", str, above), where, number, ServerStatus.READY, transport=transport
-    )
+    return Server(want(entry, "id", str, above), where, number, ServerStatus.READY, transport=transport)
 
 
 def known(table: Any, keys: set[str], above: str) -> None:
--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -192,6 +192,7 @@
         self.over.add(call_id)
         if not self._calls.caller_left(call_id) and call.state is CallState.STANDING:
             # It crossed our answer: the caller has gone, so the call must not stand on.
+            log.info("call %s was cancelled as its answer left; it is released", call_id)
             self._calls.caller_released(call_id, NORMAL_CLEARING)
             call.caller.release(call, Ending.COMPLETED)
 
--- a/mallowquay/net/platform_servers.py
+++ b/mallowquay/net/platform_servers.py
@@ -46,6 +46,7 @@
 }
 NOTES = {"ovl": Ending.PROCESSOR_FULL, "busy": Ending.NUMBER_BUSY, "nc": Ending.LINES_FULL}
 
+
 def ending_of(cause: object, note: object, answered: bool) -> Ending:
     """How an attempt or a standing call ended, by the cause and note of its release."""
     number = cause if isinstance(cause, int) else 0
@@ -152,6 +153,7 @@
             return
         self.stream = None
         ending = ending or close_ending(stream)
+        log.info("log server %s: %s", self.server.id, ending.value)
         broken, self.open = list(self.open.values()), {}
         for attempt in broken:
             self.side.calls.ended(attempt, ending)
--- a/mallowquay/net/roster.py
+++ b/mallowquay/net/roster.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import logging
+
 from ..core.calls import Calls
 from ..core.model import Attempt, Ending, ListTold, Server, ServerStatus
 
+log = logging.getLogger(__name__)
+
 
 class Roster:
     """Follows the server list; the side of each wire adds what its connections need."""
@@ -46,7 +50,10 @@
 
     def cut_standing(self, server: str, ending: Ending) -> None:
         """Release every call that stood there."""
-        for call in self.calls.standing_at(server):
+        standing = self.calls.standing_at(server)
+        if standing:
+            log.info("log server %s: %d standing calls are cut: %s", server, len(standing), ending.value)
+        for call in standing:
             attempt = call.attempt
             if attempt is not None:
                 self.hang_up(attempt)
--- a/mallowquay/net/sip/front.py
+++ b/mallowquay/net/sip/front.py
@@ -353,5 +353,3 @@
         raise BadMessage(416, "not a SIP URI", request)
     if request.number("Max-Forwards") == 0 and request.method != "OPTIONS":
         raise BadMessage(483, "too many hops", request)
-
-
--- a/mallowquay/net/sip/message.py
+++ b/mallowquay/net/sip/message.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+from ..streams import MESSAGE_MOST
+
 SIP_VERSION = b"SIP/2.0"
 HEADERS_MOST = 128
 
@@ -132,7 +134,7 @@
     if body + length > end:
         if datagram:
             raise BadMessage(400, "the body is cut off", message)
-        if body + length - start > len(buffer):
+        if body + length - start > MESSAGE_MOST:
             raise BadMessage(413, "the message is too long", message)
         return None, start
     message.body_start, message.body_end = body, body + length
--- a/mallowquay/net/sip/transactions.py
+++ b/mallowquay/net/sip/transactions.py
@@ -300,9 +300,7 @@
         for name, value in self.headers[1:]:
             if name in ("From", "To", "Call-ID", "CSeq", "Route", "Max-Forwards"):
                 headers.append((name, value.replace("INVITE", "CANCEL") if name == "CSeq" else value))
-        cancel = NonInviteClient(
-            self.layer, "CANCEL", self.uri, headers, self.hop, user, branch=self.branch
-        )
+        cancel = NonInviteClient(self.layer, "CANCEL", self.uri, headers, self.hop, user, branch=self.branch)
         cancel.start()
         # A far end that knows no CANCEL must not keep this transaction for ever.
         self.set("B", self.layer.timers.whole, lambda: self._give_up(Ending.TIMED_OUT))
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,230 @@
+"""The real program on the platform's protocol, as callers, log servers and the coordinator see it."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import tempfile
+import time
+import unittest
+
+from support import SETTINGS, WAIT, Caller, LogServer, Process, free_port
+
+from mallowquay.net.coordinator import FRAME, RECORD
+
+
+class PlatformCase(unittest.TestCase):
+    servers = 2
+
+    def setUp(self) -> None:
+        self.log_servers = [LogServer(number) for number in range(self.servers)]
+        self.coordinator = socket.create_server(("127.0.0.1", 0))
+        self.coordinator.settimeout(WAIT)
+        self.port = free_port()
+        update = {"index": 1, "endpoints": {"version": 1, "full": True,
+                  "servers": [server.entry() for server in self.log_servers]}}  # fmt: skip
+        document = {
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "coordinator": f"127.0.0.1:{self.coordinator.getsockname()[1]}",
+            "known": {"index": 1, "updates": [update]}, "settings": SETTINGS,
+        }  # fmt: skip
+        with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
+            json.dump(document, file)
+        self.addCleanup(os.unlink, file.name)
+        self.program = Process([], {"LB_CONFIG": file.name, "LB_LISTEN": f"127.0.0.1:{self.port}"})
+        self.addCleanup(self.program.stop)
+        for server in self.log_servers:
+            server.accept()
+        self.feed, _ = self.coordinator.accept()
+        self.feed.settimeout(WAIT)
+        self.index = int.from_bytes(self.feed.recv(8), "big")
+        self.caller = Caller(self.port)
+
+    def set_up(self, call_id: str, dest: int = 0) -> None:
+        self.caller.invite(call_id, dest=dest)
+        server = self.log_servers[dest]
+        self.assertEqual(server.read()["ref"], call_id)
+        server.say("up", call_id, text="answer")
+        self.assertEqual(self.caller.read()[""], "SIP/2.0 200 OK")
+
+    def tell(self, server: LogServer, state: int, started_ms: int = 0) -> None:
+        self.index += 1
+        record = RECORD.pack(server.number, socket.inet_aton("127.0.0.1"), server.port, state, 0, 0,
+                             server.number, 1000, started_ms)  # fmt: skip
+        self.feed.sendall(FRAME.pack(9 + len(record), self.index, 2) + record)
+
+    def test_a_call_stands_and_is_released_by_its_log_server(self) -> None:
+        self.caller.invite("00000000000000a1", left=3000)
+        sent = self.log_servers[0].read()
+        self.assertEqual(sent["t"], "new")
+        self.assertEqual(sent["d"], "offer\r\n")
+        fields = sent["f"]
+        self.assertEqual((fields["class"], fields["key"]), ("log-lookup", "7f3a9c21e0b4d655"))
+        self.assertLess(2500, int(fields["left"]))
+        self.assertLess(int(fields["left"]), 3000)
+        self.log_servers[0].say("up", "00000000000000a1", text="m=audio\r\n")
+        answer = self.caller.read()
+        self.assertEqual((answer[""], answer["body"]), ("SIP/2.0 200 OK", "m=audio\r\n"))
+        self.assertEqual((answer["call-id"], answer["cseq"]), ("00000000000000a1", "1 INVITE"))
+        self.caller.send("ACK", "00000000000000a1")
+        self.log_servers[0].say("down", "00000000000000a1", cause=16)
+        bye = self.caller.read()
+        self.assertTrue(bye[""].startswith("BYE "))
+        self.assertEqual((bye["call-id"], bye["reason"]), ("00000000000000a1", "Q.850;cause=16"))
+
+    def test_a_release_arrives_on_any_connection(self) -> None:
+        self.set_up("00000000000000a2")
+        other = Caller(self.port)
+        other.send("BYE", "00000000000000a2", "Reason: Q.850;cause=16")
+        self.assertEqual(other.read()[""], "SIP/2.0 200 OK")
+        self.assertEqual(
+            self.log_servers[0].read(), {"t": "down", "ref": "00000000000000a2", "f": {}, "c": 16}
+        )
+        self.assertTrue(self.caller.silent())
+
+    def test_a_release_finds_a_caller_whose_connection_closed(self) -> None:
+        self.set_up("00000000000000a3")
+        self.caller.sock.close()
+        other = Caller(self.port)
+        other.send("OPTIONS", "p")
+        self.assertEqual(other.read()[""], "SIP/2.0 200 OK")
+        self.log_servers[0].say("down", "00000000000000a3", cause=41)
+        self.assertEqual(other.read()["reason"], "Q.850;cause=41")
+
+    def test_full_goes_elsewhere_at_once_and_lost_attempts_wait(self) -> None:
+        self.caller.invite("00000000000000a4")
+        self.log_servers[0].read()
+        self.log_servers[0].say("down", "00000000000000a4", cause=34, note="ovl")
+        self.assertEqual(self.log_servers[1].read()["ref"], "00000000000000a4")
+        self.log_servers[1].say("down", "00000000000000a4", cause=41)
+        reset_at = time.monotonic()
+        while self.log_servers[0].silent(0.01) and self.log_servers[1].silent(0.01):
+            pass
+        self.assertGreaterEqual(time.monotonic() - reset_at, 0.29)
+
+    def test_a_refusal_comes_before_the_caller_gives_up_with_a_gap(self) -> None:
+        self.caller.invite("00000000000000a5", left=700)
+        asked = time.monotonic()
+        self.assertEqual(self.log_servers[0].read()["t"], "new")  # and never answers
+        answer = self.caller.read()
+        self.assertLess(time.monotonic() - asked, 0.7)
+        self.assertRegex(answer[""], "^SIP/2.0 (503|480|500|504) ")
+        self.assertGreater(int(answer["p-gap-ms"]), 0)
+        self.assertEqual(self.log_servers[0].read()["t"], "down")
+        self.log_servers[0].say("up", "00000000000000a5", text="late")
+        self.assertEqual(self.log_servers[0].read()["t"], "down")
+        self.assertTrue(self.caller.silent())
+
+    def test_a_cancel_ends_the_attempt_and_one_that_crosses_the_answer_releases(self) -> None:
+        self.caller.invite("00000000000000a6")
+        self.log_servers[0].read()
+        self.caller.send("CANCEL", "00000000000000a6")
+        statuses = {self.caller.read()[""][8:11], self.caller.read()[""][8:11]}
+        self.assertEqual(statuses, {"200", "487"})
+        self.assertEqual(self.log_servers[0].read()["c"], 16)
+        self.set_up("00000000000000a7")
+        self.caller.send("CANCEL", "00000000000000a7")
+        self.assertEqual(self.caller.read()["cseq"], "1 CANCEL")
+        self.assertTrue(self.caller.read()[""].startswith("BYE "))
+        self.assertEqual(self.log_servers[0].read()["c"], 16)
+
+    def test_a_process_that_dies_cuts_its_calls(self) -> None:
+        self.set_up("00000000000000a8")
+        self.log_servers[0].reset()
+        self.assertEqual(self.caller.read()["reason"], "Q.850;cause=41")
+
+    def test_a_broken_connection_alone_cuts_nothing(self) -> None:
+        self.set_up("00000000000000a9")
+        self.log_servers[0].reset(listening=True)
+        self.log_servers[0].accept()
+        self.assertTrue(self.caller.silent())
+        self.log_servers[0].say("down", "00000000000000a9", cause=16)
+        self.assertEqual(self.caller.read()["reason"], "Q.850;cause=16")
+
+    def test_a_new_start_cuts_what_stood_before(self) -> None:
+        self.set_up("00000000000000aa")
+        self.tell(self.log_servers[0], 0, started_ms=int(time.time() * 1000))
+        self.assertEqual(self.caller.read()["reason"], "Q.850;cause=41")
+
+    def test_nothing_new_goes_to_a_draining_server(self) -> None:
+        self.tell(self.log_servers[0], 1)
+        self.caller.send("OPTIONS", "p")
+        self.caller.read()
+        self.set_up_anywhere_but(0, "00000000000000ab")
+
+    def set_up_anywhere_but(self, drained: int, call_id: str) -> None:
+        # The feed and the caller are two connections: the list may come after the first set-up.
+        for attempt in range(50):
+            self.caller.invite(f"{call_id}{attempt}")
+            there = self.log_servers[1 - drained]
+            if there.silent(0.2):
+                continue
+            there.read()
+            self.assertTrue(self.log_servers[drained].silent() or attempt == 0)
+            return
+        self.fail("no set-up went to the other server")
+
+    def test_events_apply_in_order_and_a_broken_feed_goes_on_from_the_last(self) -> None:
+        self.assertEqual(self.index, 1)
+        self.tell(self.log_servers[0], 1)
+        self.feed.sendall(FRAME.pack(3, 9, 9))  # no frame is so short
+        self.feed, _ = self.coordinator.accept()
+        self.feed.settimeout(WAIT)
+        self.assertEqual(int.from_bytes(self.feed.recv(8), "big"), 2)
+
+    def test_a_call_of_a_process_before_is_released_both_ways(self) -> None:
+        self.caller.send("BYE", "00000000000000ac", "Reason: Q.850;cause=16")
+        self.assertEqual(self.caller.read()[""], "SIP/2.0 200 OK")
+        self.assertEqual(self.log_servers[0].read()["ref"], "00000000000000ac")
+        self.log_servers[0].say("down", "00000000000000ad", cause=16)
+        bye = self.caller.read()
+        self.assertEqual((bye[""][:4], bye["call-id"]), ("BYE ", "00000000000000ad"))
+
+    def test_bad_messages_are_answered_or_dropped_and_the_program_goes_on(self) -> None:
+        for bad in (
+            b"\x00\xff garbage\r\n\r\n",
+            b"A" * 20000,
+            b"INVITE sip:1@net SIP/2.0\r\nCall-ID: x\r\n\r\n",
+        ):
+            broken = Caller(self.port)
+            try:
+                broken.sock.sendall(bad)
+                while broken.sock.recv(4096):
+                    pass
+            except ConnectionError:
+                pass
+        self.caller.send("INVITE", "bad1", "P-Kind: no-such", "P-Time-Left: 900")
+        self.assertEqual(self.caller.read()[""], "SIP/2.0 400 Bad Request")
+        self.caller.send("INVITE", "bad2", "P-Kind: log-lookup", "P-Time-Left: soon")
+        self.assertEqual(self.caller.read()[""], "SIP/2.0 400 Bad Request")
+        self.log_servers[0].raw(b'[1]\n{"t":"up"}\nnot json\n{"t":"up","ref":"z","f":7,"d":[]}\n\xff\n')
+        self.log_servers[1].raw(b"x" * 20000)
+        self.assertEqual(self.log_servers[0].read()["ref"], "z")  # nobody waits for it: released
+        self.set_up("00000000000000ae")
+
+    def test_a_head_split_anywhere_is_read(self) -> None:
+        text = (b"INVITE sip:1f@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: split\r\nCSeq: 1 INVITE\r\n"
+                b"P-Kind: log-lookup\r\nP-Time-Left: 3000\r\nContent-Length: 3\r\n\r\nabc")  # fmt: skip
+        for byte in text:
+            self.caller.sock.sendall(bytes([byte]))
+        sent = [server for server in self.log_servers if not server.silent(0.5)][0].read()
+        self.assertEqual((sent["ref"], sent["d"]), ("split", "abc"))
+
+    def test_sigterm_finishes_what_was_taken_and_goes_on_accepting(self) -> None:
+        self.caller.invite("00000000000000af")
+        self.log_servers[0].read()
+        self.program.terminate()
+        late = Caller(self.port)  # new connections still come
+        late.invite("00000000000000b0", dest=1)
+        self.log_servers[1].read()
+        for server, call_id in ((0, "00000000000000af"), (1, "00000000000000b0")):
+            self.log_servers[server].say("up", call_id, text="x")
+        self.assertEqual(self.caller.read()[""], "SIP/2.0 200 OK")
+        self.assertEqual(late.read()[""], "SIP/2.0 200 OK")
+        self.assertEqual(self.program.process.wait(WAIT), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
