--- a/mallowquay/__main__.py
+++ b/mallowquay/__main__.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import random
+import secrets
 import signal
 import sys
 from collections.abc import Callable
@@ -22,6 +23,7 @@
 from .core.decisions import Decisions
 from .core.model import ListTold
 from .net.clock import Metronome, UnixTime, monotonic
+from .net.consul import Consul
 from .net.coordinator import Coordinator, read_known
 from .net.platform_front import PlatformFront
 from .net.platform_servers import PlatformServers
@@ -29,6 +31,8 @@
 from .net.sip.servers import SipServers
 from .net.sip.transactions import Timers, Transactions
 from .net.sip.transport import Transport
+from .net.xds import Endpoints
+from .net.xds import serve as serve_xds
 
 log = logging.getLogger("mallowquay")
 
@@ -45,7 +49,7 @@
         self.loop = IOLoop.current()
         self.done = asyncio.Event()
         self.stopped_at: timedelta | None = None
-        decisions = Decisions(settings.settings, settings.seed, monotonic)
+        decisions = self.decisions = Decisions(settings.settings, settings.seed, monotonic)
         self.calls = Calls(
             decisions, monotonic, settings.release_wait, settings.guard_margin, settings.default_gap
         )
@@ -94,9 +98,21 @@
         self.front = SipFront(
             self.calls, layer, servers, monotonic, tag, sip, self.config.classes, self.config.end_margin
         )
-        told = ListTold(sip.servers, whole=True)
-        self.calls.list_told(told)
-        servers.list_told(told)
+
+        def told(news: ListTold) -> None:
+            self.calls.list_told(news)
+            servers.list_told(news)
+
+        if self.config.consul is not None:
+            transport.spawn(Consul(self.config.consul, UnixTime(), told, chance).follow())
+        else:
+            told(ListTold(sip.servers, whole=True))
+        if self.config.xds is not None:
+            start = f"{secrets.randbits(32):08x}"
+            endpoints = Endpoints(
+                self.config.xds.cluster, self.decisions.ratings, lambda: servers.servers, start
+            )
+            self.xds = serve_xds(endpoints, self.config.xds.listen)
         if sip.udp is not None:
             transport.listen_udp(sip.udp)
         if sip.tcp is not None:
--- a/mallowquay/config.py
+++ b/mallowquay/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import secrets
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -63,6 +64,25 @@
     servers: tuple[Server, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ConsulConfig:
+    """Consul as the source of the server list."""
+
+    address: tuple[str, int]
+    service: str
+    datacenter: str
+    token: str
+    wait: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class XdsConfig:
+    """The xDS endpoints for other proxies."""
+
+    listen: tuple[str, int]
+    cluster: str
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that the program is told."""
@@ -78,6 +98,8 @@
     sockets: int
     platform: PlatformConfig | None = None
     sip: SipConfig | None = None
+    consul: ConsulConfig | None = None
+    xds: XdsConfig | None = None
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -118,6 +140,8 @@
     sockets: int,
     platform: PlatformConfig | None = None,
     sip: SipConfig | None = None,
+    consul: ConsulConfig | None = None,
+    xds: XdsConfig | None = None,
 ) -> Config:
     """What both fronts share: the module's settings and what is drawn from them."""
     try:
@@ -144,6 +168,8 @@
         sockets=sockets,
         platform=platform,
         sip=sip,
+        consul=consul,
+        xds=xds,
     )
 
 
@@ -151,7 +177,9 @@
 
 DEFAULT_RULES = {"drainGrace": 500_000, "coldFrom": 0.29, "cold": 15_000_000, "fallMultiple": 3.0}
 DEFAULT_RULES |= {"fall": 3_000_000}
-TOP_KEYS = {"sip", "classes", "servers", "limits", "gatekeepers", "seed"}
+TOP_KEYS = {"sip", "classes", "servers", "limits", "gatekeepers", "seed", "consul", "xds"}
+CONSUL_KEYS = {"address", "service", "datacenter", "token_file", "wait_ms"}
+XDS_KEYS = {"listen", "cluster"}
 SIP_KEYS = {"udp", "tcp", "default_class", "t1_ms", "t2_ms", "t4_ms", "calls_most", "transactions_most"}
 CLASS_KEYS = {"name", "aim_ms", "deadline_ms", "worth", "late_worth", "hold_ms"}
 SERVER_KEYS = {"id", "address", "number", "transport"}
@@ -202,7 +230,41 @@
     }
     sip = _sip(want(document, "sip", dict), document, names)
     sockets = count(limits, "sockets", DEFAULT_SOCKETS, "limits.")
-    return common(settings, read_seed(document.get("seed", "1")), sockets, sip=sip)
+    consul = _consul(document["consul"]) if "consul" in document else None
+    if consul is None and not sip.servers:
+        raise ConfigError("servers: none is given, and there is no consul to name them")
+    if consul is not None and sip.servers:
+        raise ConfigError("servers and consul exclude each other: one source names the log servers")
+    xds = _xds(document["xds"]) if "xds" in document else None
+    seed = read_seed(document.get("seed") or f"{secrets.randbits(64):x}")
+    return common(settings, seed, sockets, sip=sip, consul=consul, xds=xds)
+
+
+def _consul(table: Any) -> ConsulConfig:
+    known(table, CONSUL_KEYS, "consul.")
+    token = ""
+    if "token_file" in table:
+        path = want(table, "token_file", str, "consul.")
+        try:
+            with open(path, encoding="utf-8") as file:
+                token = file.read().strip()
+        except (OSError, UnicodeDecodeError) as fault:
+            raise ConfigError(f"consul.token_file: {path}: {fault}") from fault
+    return ConsulConfig(
+        address=address(want(table, "address", str, "consul."), "consul.address"),
+        service=want(table, "service", str, "consul."),
+        datacenter=want(table, "datacenter", str, "consul.") if "datacenter" in table else "",
+        token=token,
+        wait=count(table, "wait_ms", 60_000, "consul.") * MILLISECOND,
+    )
+
+
+def _xds(table: Any) -> XdsConfig:
+    known(table, XDS_KEYS, "xds.")
+    return XdsConfig(
+        listen=address(want(table, "listen", str, "xds."), "xds.listen"),
+        cluster=want(table, "cluster", str, "xds.") if "cluster" in table else "log-servers",
+    )
 
 
 def _service(kind: Any, above: str) -> dict[str, Any]:
--- a/mallowquay/core/decisions.py
+++ b/mallowquay/core/decisions.py
@@ -41,10 +41,12 @@
     Dispatch,
     Ended,
     Ending,
+    Level,
     ListTold,
     Load,
     LoadTold,
     News,
+    Rating,
     Request,
     Server,
     ServerStatus,
@@ -81,6 +83,7 @@
     ServerStatus.DRAINING: ServerState.DRAINING,
     ServerStatus.GONE: ServerState.GONE,
 }
+LEVELS = (Level.NORMAL, Level.WARNING, Level.CRITICAL)
 NUMBER_MOST = 2**64
 
 
@@ -150,6 +153,12 @@
         """When tick is to be called next."""
         return self._timers[0][0] * MICROSECOND if self._timers else None
 
+    def ratings(self) -> list[Rating]:
+        """How the module rates each log server that may be sent to or drains, for other proxies."""
+        return [
+            Rating(name, LEVELS[level], takes) for name, level, takes in self._controller.ratings(self._now())
+        ]
+
     def drop(self, request_id: str) -> None:
         """Forget a call that ended without an attempt."""
         self._forget(request_id)
--- a/mallowquay/core/model.py
+++ b/mallowquay/core/model.py
@@ -106,6 +106,23 @@
     timed_out: bool = False
 
 
+class Level(Enum):
+    """How the module rates a log server."""
+
+    NORMAL = "normal"
+    WARNING = "warning"
+    CRITICAL = "critical"
+
+
+@dataclass(frozen=True, slots=True)
+class Rating:
+    """What the module thinks of a log server; `takes` is the set-ups a second that this sender may give it."""
+
+    server: str
+    level: Level
+    takes: float
+
+
 # --- what the facade decides ---------------------------------------------------------------------
 
 
--- /dev/null
+++ b/mallowquay/net/consul.py
@@ -0,0 +1,140 @@
+"""Consul's catalogue and health API as a source of the server list, followed by blocking queries."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
+
+from ..config import OTHER, ConsulConfig
+from ..core.model import ListTold, Server, ServerStatus
+from .clock import UnixTime
+
+log = logging.getLogger(__name__)
+
+SECOND = timedelta(seconds=1)
+RETRY_LEAST, RETRY_MOST = timedelta(milliseconds=500), timedelta(seconds=15)
+BODY_MOST = 4 * 1024 * 1024
+WAIT_SLACK = 16  # Consul itself adds up to a sixteenth of the wait
+MAINTENANCE = ("_node_maintenance", "_service_maintenance:")
+
+
+class ConsulFault(Exception):
+    """An answer that cannot be used; the list of before stays in force."""
+
+
+class Consul:
+    """Follows the instances of one service."""
+
+    def __init__(
+        self,
+        config: ConsulConfig,
+        unix: UnixTime,
+        tell: Callable[[ListTold], None],
+        chance: random.Random,
+    ) -> None:
+        self._config, self._unix, self._tell, self._chance = config, unix, tell, chance
+        self._client = AsyncHTTPClient(force_instance=True, max_body_size=BODY_MOST, max_clients=1)
+        self.index = 0
+        self._last: tuple[Server, ...] | None = None
+
+    async def follow(self) -> None:
+        """Ask, apply, and ask again from the index told; longer and longer gaps while it fails."""
+        gap = RETRY_LEAST
+        while True:
+            try:
+                self.apply(await self._query())
+                gap = RETRY_LEAST
+            except (ConsulFault, HTTPClientError, HTTPStreamClosedError, HTTPTimeoutError, OSError) as fault:
+                log.warning("consul: %s", fault)
+                self.index = 0  # the next query answers at once, whatever was missed
+                await asyncio.sleep(gap.total_seconds() * (0.5 + self._chance.random()))
+                gap = min(2 * gap, RETRY_MOST)
+
+    def _query(self) -> Any:
+        config = self._config
+        query = {"index": str(self.index), "wait": f"{config.wait // timedelta(milliseconds=1)}ms"}
+        if config.datacenter:
+            query["dc"] = config.datacenter
+        host, port = config.address
+        path = f"/v1/health/service/{quote(config.service, safe='')}?{urlencode(query)}"
+        wait = config.wait + config.wait / WAIT_SLACK + 5 * SECOND
+        request = HTTPRequest(
+            f"http://{host}:{port}{path}",
+            headers={"X-Consul-Token": config.token} if config.token else None,
+            connect_timeout=5.0,
+            request_timeout=wait.total_seconds(),
+            follow_redirects=False,
+        )
+        return self._client.fetch(request)
+
+    def apply(self, response: HTTPResponse) -> None:
+        """Take one answer."""
+        if response.headers.get("X-Consul-KnownLeader") == "false":
+            raise ConsulFault("it knows no leader")
+        text = response.headers.get("X-Consul-Index", "")
+        if not text.isascii() or not text.isdigit():
+            raise ConsulFault(f"X-Consul-Index is no number: {text!r}")
+        servers = read_instances(response.body, self._unix)
+        index = int(text)
+        # An index that goes back means a restored catalogue: begin anew. One of 0 would never block.
+        self.index = 0 if index < self.index else max(index, 1)
+        if servers != self._last:
+            self._last = servers
+            self._tell(ListTold(servers, whole=True))
+
+
+def read_instances(body: bytes, unix: UnixTime) -> tuple[Server, ...]:
+    """The instances of an answer; ConsulFault names what cannot be read."""
+    try:
+        entries = json.loads(body)
+    except ValueError as fault:
+        raise ConsulFault("the answer is not JSON") from fault
+    if not isinstance(entries, list):
+        raise ConsulFault("the answer is not a list")
+    try:
+        servers = [_instance(entry, unix) for entry in entries]
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as fault:
+        raise ConsulFault(f"an instance cannot be read: {type(fault).__name__}: {fault}") from fault
+    # Instances without a number of their own are numbered in the order of their ids.
+    servers.sort(key=lambda server: server.id)
+    taken = {server.number for server in servers}
+    free = (number for number in range(len(taken) + len(servers) + 1) if number not in taken)
+    return tuple(s if s.number >= 0 else _numbered(s, next(free)) for s in servers)
+
+
+def _numbered(server: Server, number: int) -> Server:
+    return Server(server.id, server.address, number, server.status, server.started, server.transport)
+
+
+def _instance(entry: dict[str, Any], unix: UnixTime) -> Server:
+    service, node = entry["Service"], entry["Node"]
+    meta = service.get("Meta") or {}
+    transport = meta.get("transport", "udp")
+    if transport not in OTHER:
+        raise ValueError(f"transport {transport!r}")
+    host = service.get("Address") or node["Address"]
+    return Server(
+        id=f"{node['Node']}/{service['ID']}",
+        address=(str(host), int(service["Port"])),
+        number=int(meta.get("number", -1)),
+        status=status_of(entry.get("Checks") or []),
+        started=unix.point(int(meta.get("started_ms", 0))),
+        transport=transport,
+    )
+
+
+def status_of(checks: list[dict[str, Any]]) -> ServerStatus:
+    """Nothing new goes where a check is critical or maintenance is declared; a warning still serves."""
+    for check in checks:
+        if check.get("Status") == "critical" or str(check.get("CheckID", "")).startswith(MAINTENANCE):
+            return ServerStatus.DRAINING
+    return ServerStatus.READY
--- a/quincestand/logic.py
+++ b/quincestand/logic.py
@@ -327,6 +327,17 @@
                 level = "warning" if view.state == 1 else "critical"
                 self._log(view, now, f"pressed ({level}); {max(0.0, view.cut):.0%} of set-ups are cut")
 
+    def ratings(self, now: int) -> list[tuple[ServerId, int, float]]:
+        """Of each server on the list: 0 Normal, 1 Warning, 2 Critical, and the set-ups a second it is given."""
+        rated = []
+        for name, view in self.servers.items():
+            if view.entry.state is not ServerState.GONE:
+                shut = view.silent or now < view.full_until or not view.cold_room(now)
+                takes = self.part * (view.takes(now) or view.capacity)
+                rated.append((name, 2 if shut else view.state, takes if view.bucket.rate is None
+                              else min(view.bucket.rate, takes or inf)))  # fmt: skip
+        return rated
+
     # --- server list and reports
 
     def _server_list(self, now: int, event: ServerList) -> None:
