--- a/mallowquay/core/model.py
+++ b/mallowquay/core/model.py
@@ -116,7 +116,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Rating:
-    """What the module thinks of a log server; `takes` is the set-ups a second that this sender may give it."""
+    """What the module thinks of a log server; `takes`: set-ups a second that this sender may give it."""
 
     server: str
     level: Level
--- a/quincestand/logic.py
+++ b/quincestand/logic.py
@@ -328,7 +328,7 @@
                 self._log(view, now, f"pressed ({level}); {max(0.0, view.cut):.0%} of set-ups are cut")
 
     def ratings(self, now: int) -> list[tuple[ServerId, int, float]]:
-        """Of each server on the list: 0 Normal, 1 Warning, 2 Critical, and the set-ups a second it is given."""
+        """Of each server on the list: 0 Normal, 1 Warning, 2 Critical, and how many set-ups a second."""
         rated = []
         for name, view in self.servers.items():
             if view.entry.state is not ServerState.GONE:
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -89,10 +89,12 @@
             self.addCleanup(item.close)
 
     def request(self, peer: Peer, method: str, call: str, to_tag: str = "", cseq: int = 1, mark: str = "",
-                uri: str = "sip:7f@127.0.0.1", drop: str = "", more: tuple[tuple[str, str], ...] = ()) -> None:  # fmt: skip
+                uri: str = "sip:7f@127.0.0.1", drop: str = "",
+                more: tuple[tuple[str, str], ...] = ()) -> None:  # fmt: skip
         port = self.udp.sock.getsockname()[1]
         to = "<sip:7f@127.0.0.1>" + (f";tag={to_tag}" if to_tag else "")
-        headers = [("Via", f"SIP/2.0/{peer.name} 127.0.0.1:{port};branch=z9hG4bK{call}{peer.name}{mark};rport"),
+        branch = f"z9hG4bK{call}{peer.name}{mark}"
+        headers = [("Via", f"SIP/2.0/{peer.name} 127.0.0.1:{port};branch={branch};rport"),
                    ("From", "<sip:c@127.0.0.1>;tag=cal"), ("To", to), ("Call-ID", call),
                    ("CSeq", f"{cseq} {method}"), ("Max-Forwards", "70"), ("P-Path", "dest:0"),
                    ("Contact", f"<sip:c@127.0.0.1:{port};transport=udp>"), *more]  # fmt: skip
@@ -207,7 +209,8 @@
         self.server.reply(invite, 200, self.server_contact)
         self.server.expect("ACK")
         tag = self.tcp.expect("SIP/2.0 200").tag("to")
-        bye = [("Via", "SIP/2.0/UDP 127.0.0.1:1;branch=z9hG4bKx;rport"), ("From", f"{invite.get('to')};tag=srv"),
+        bye = [("Via", "SIP/2.0/UDP 127.0.0.1:1;branch=z9hG4bKx;rport"),
+               ("From", f"{invite.get('to')};tag=srv"),
                ("To", invite.get("from")), ("Call-ID", invite.get("call-id")), ("CSeq", "1 BYE")]  # fmt: skip
         self.server.write(encode(f"BYE {invite.get('contact').strip('<>')} SIP/2.0", bye))
         self.server.expect("SIP/2.0 200")
@@ -218,7 +221,8 @@
 
     def test_order_inside_a_dialog_and_requests_outside_of_any(self) -> None:
         tag, _ = self.stand(self.udp, "c9")
-        for method, cseq, status in (("OPTIONS", 5, 200), ("OPTIONS", 4, 500), ("INFO", 6, 405), ("INVITE", 7, 488),
+        for method, cseq, status in (("OPTIONS", 5, 200), ("OPTIONS", 4, 500), ("INFO", 6, 405),
+                                     ("INVITE", 7, 488),
                                      ("DANCE", 8, 501)):  # fmt: skip
             self.request(self.udp, method, "c9", tag, cseq, mark=method + str(cseq))
             self.assertEqual(self.udp.expect("SIP/2.0 2", "SIP/2.0 4", "SIP/2.0 5").status, status, method)
@@ -309,8 +313,8 @@
 
     def message(self, first: str, method: str, branch: str = "z9hG4bKx") -> Message:
         via = f"SIP/2.0/UDP 127.0.0.1:1;branch={branch}"
-        data = encode(first, [("Via", via), ("From", "<sip:a>;tag=1"), ("To", "<sip:b>;tag=2"), ("Call-ID", "c"),
-                              ("CSeq", f"1 {method}")])  # fmt: skip
+        data = encode(first, [("Via", via), ("From", "<sip:a>;tag=1"), ("To", "<sip:b>;tag=2"),
+                              ("Call-ID", "c"), ("CSeq", f"1 {method}")])  # fmt: skip
         message, _ = parse(bytearray(data), 0, len(data))
         assert message is not None
         return message
