--- a/mallowquay/__main__.py
+++ b/mallowquay/__main__.py
@@ -136,7 +136,8 @@
     def _look(self) -> None:
         assert self.stopped_at is not None
         quiet_since = max(self.stopped_at + STOP_ACCEPTS, self.calls.last_offer + STOP_LOOKS)
-        if monotonic() >= quiet_since and self.calls.unanswered == 0:
+        settled = self.front is None or self.front.settled()
+        if monotonic() >= quiet_since and self.calls.unanswered == 0 and settled:
             self.done.set()
         else:
             self.loop.add_timeout(STOP_LOOKS, self._look)
--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -87,6 +87,10 @@
         self.stopping = False
         self.bad_messages = 0
 
+    def settled(self) -> bool:
+        """Nothing is sent again on this wire: what is answered is done."""
+        return True
+
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Serve one connection until it closes."""
         if len(self._connections) >= self._most:
--- a/mallowquay/net/sip/front.py
+++ b/mallowquay/net/sip/front.py
@@ -300,6 +300,10 @@
         if leg is not None:
             leg.ack(hop)
 
+    def settled(self) -> bool:
+        """Whether every 200 has its ACK: until then a stopping program stays."""
+        return all(leg.acknowledged or leg.over for leg in self.dialogs.values())
+
     # --- for legs
 
     def stands(self, leg: CallerLeg) -> None:
--- a/mallowquay/net/streams.py
+++ b/mallowquay/net/streams.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import Sequence
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from ..core.model import Ending
 
@@ -80,8 +80,8 @@
             rest = stream.write(bytes(memoryview(part)[sent:]))
             _ignore_failure(rest)
             sent = 0
-    except (OSError, StreamClosedError):
-        stream.close()
+    except (OSError, StreamClosedError, StreamBufferFullError):
+        stream.close()  # it closed, or its far end does not read
         return False
     return True
 
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -219,6 +219,17 @@
         got = self.udp.expect("BYE")  # to the Contact
         self.assertEqual((got.tag("from"), got.tag("to"), got.get("reason")), (tag, "cal", "Q.850;cause=16"))
 
+    def test_sigterm_finishes_what_was_taken_to_its_ack(self) -> None:
+        self.request(self.udp, "INVITE", "c10")
+        invite = self.server.expect("INVITE")
+        self.program.terminate()
+        self.server.reply(invite, 200, self.server_contact)
+        tag = self.udp.expect("SIP/2.0 200").tag("to")
+        self.assertEqual(self.udp.expect("SIP/2.0 200").tag("to"), tag)
+        self.assertIsNone(self.program.process.poll())
+        self.request(self.udp, "ACK", "c10", tag, mark="a")
+        self.assertEqual(self.program.process.wait(WAIT), 0)
+
     def test_order_inside_a_dialog_and_requests_outside_of_any(self) -> None:
         tag, _ = self.stand(self.udp, "c9")
         for method, cseq, status in (("OPTIONS", 5, 200), ("OPTIONS", 4, 500), ("INFO", 6, 405),
