Give up set-ups whose caller's connection has closed

Their answer could reach nobody, and the attempt went on costing the log server work. Seen when reading the front for what a closed connection leaves behind; a test closes one under an open set-up.

--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -38,6 +38,7 @@
 
     def __init__(self, stream: IOStream) -> None:
         self.stream, self.buffer = stream, MessageBuffer()
+        self.unanswered: set[str] = set()  # set-ups whose answer is due here and nowhere else
 
     def write(self, parts: list[bytes]) -> bool:
         """Send a message; False if the connection is gone."""
@@ -54,6 +55,7 @@
 
     def answer(self, call: Call, answer: FinalAnswer) -> None:
         """Write the final answer on the connection of the set-up."""
+        self.connection.unanswered.discard(call.request.id)
         extra: list[Header] = []
         if answer.verdict is Verdict.STANDS:
             parts = write_response(200, self.headers, extra, answer.description.encode("utf-8", "replace"))
@@ -116,6 +118,8 @@
         finally:
             del self._connections[connection]
             stream.close()
+            for call_id in list(connection.unanswered):  # nobody is left to answer: no work for nothing
+                self._calls.caller_left(call_id)
 
     def _bad(self, fault: str) -> None:
         self.bad_messages += 1
@@ -186,6 +190,7 @@
         )
         if self.over.holds(call_id) or self._calls.get(call_id) is not None:
             return  # sent again: the call has its answer or will have it
+        connection.unanswered.add(call_id)
         self._calls.offer(request, PlatformCaller(self, connection, message))
 
     def _cancel(self, connection: Connection, message: Message, call_id: str) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -130,6 +130,13 @@
         self.assertTrue(self.caller.read()[""].startswith("BYE "))
         self.assertEqual(self.log_servers[0].read()["c"], 16)
 
+    def test_a_set_up_whose_connection_closed_is_given_up(self) -> None:
+        self.caller.invite("00000000000000b1")
+        self.log_servers[0].read()
+        self.caller.sock.close()
+        given_up = self.log_servers[0].read()
+        self.assertEqual((given_up["t"], given_up["ref"], given_up["c"]), ("down", "00000000000000b1", 16))
+
     def test_a_process_that_dies_cuts_its_calls(self) -> None:
         self.set_up("00000000000000a8")
         self.log_servers[0].reset()
