Open connections and run coroutines in one place; tell at the end what was unreadable

The connect of log servers, SIP hops and the coordinator was written three times (found by a search for like lines); it is streams.open_stream now, and net/tasks.py keeps coroutines. The end margin is 60 ms instead of 40: a gatekeeper held to 0.3 of a core can stand still for 70 ms, and the module keeps 30 ms of its own.

--- a/mallowquay/__main__.py
+++ b/mallowquay/__main__.py
@@ -55,6 +55,7 @@
         )
         self.metronome = Metronome(self.loop, self.calls)
         self.front: PlatformFront | SipFront | None = None
+        self.unreadable: Callable[[], int] = lambda: 0  # messages that were dropped or answered as bad
 
     def start_platform(self, platform: PlatformConfig) -> None:
         """Listen for the platform's callers and follow its coordinator."""
@@ -64,6 +65,7 @@
         front = self.front = PlatformFront(
             self.calls, monotonic, self.config.classes, self.config.end_margin, most
         )
+        self.unreadable = lambda: front.bad_messages + servers.unreadable
         front.stray_release = servers.release_stray
         servers.stray_ended = front.stray_ended
 
@@ -92,6 +94,7 @@
         transport = Transport(self.loop, self.config.connect_timeout, most)
         timers = Timers(sip.t1, sip.t2, sip.t4)
         layer = Transactions(transport, timers, self._later, tag, sip.transactions_most)
+        self.unreadable = lambda: transport.garbage
         transport.take, transport.lost = layer.take, layer.connection_lost
         servers = SipServers(self.calls, layer, monotonic, tag)
         self.calls.attach(servers)
@@ -160,7 +163,7 @@
     gc.collect()
     gc.freeze()  # what stands from the start is never looked through again: shorter pauses
     await program.done.wait()
-    log.info("stopped")
+    log.info("stopped; %d messages could not be read", program.unreadable())
 
 
 def main() -> int:
--- a/mallowquay/config.py
+++ b/mallowquay/config.py
@@ -19,7 +19,7 @@
 OTHER = {"udp": "tcp", "tcp": "udp"}
 
 # --- defaults ------------------------------------------------------------------------------------
-END_MARGIN = timedelta(milliseconds=40)  # the module's last word comes so long before the caller gives up,
+END_MARGIN = timedelta(milliseconds=60)  # the module's last word comes so long before the caller gives up,
 # beyond its own margin: the event loop may lag
 GUARD_MARGIN = timedelta(milliseconds=10)  # and the guard of the core speaks so long before that end
 SOCKETS_KEPT = 96  # descriptors kept for log servers, the coordinator and the program itself
--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -189,7 +189,7 @@
             return True
         call.attempt, call.state = None, CallState.WAITING
         call.lost_time = ending is Ending.TIMED_OUT
-        if ending not in PROVEN_NOT_RUN:
+        if ending not in NO_RELEASE_WAIT:
             call.not_before = self._clock() + self._release_wait
         self._do(lambda: self._decisions.report(Ended(attempt, ending, False, load or {})))
         return True
@@ -320,8 +320,8 @@
         return attempt
 
 
-# Endings that prove that a set-up never ran: no release wait follows.
-PROVEN_NOT_RUN = frozenset(
+# Endings after which a call may go on at once: a whole answer, or proof that nothing ran.
+NO_RELEASE_WAIT = frozenset(
     {
         Ending.FAULT,
         Ending.NUMBER_BUSY,
--- a/mallowquay/net/coordinator.py
+++ b/mallowquay/net/coordinator.py
@@ -16,7 +16,7 @@
 
 from ..core.model import ListTold, Server, ServerStatus
 from .clock import UnixTime
-from .streams import new_socket, quiet
+from .streams import ConnectFailed, open_stream
 
 log = logging.getLogger(__name__)
 
@@ -93,15 +93,13 @@
         while True:
             try:
                 await self._session()
-            except (FeedError, StreamClosedError, TornadoTimeout) as fault:
+            except (FeedError, ConnectFailed, StreamClosedError, TornadoTimeout) as fault:
                 log.info("coordinator: %s", str(fault) or type(fault).__name__)
             await asyncio.sleep(RETRY_AFTER.total_seconds())
 
     async def _session(self) -> None:
-        stream = IOStream(new_socket(), max_buffer_size=2 * FRAME_MOST)
+        stream = await open_stream(self._address, CONNECT_WITHIN, 2 * FRAME_MOST)
         try:
-            await gen.with_timeout(CONNECT_WITHIN, stream.connect(self._address))
-            quiet(stream)
             await stream.write(self.index.to_bytes(8, "big"))
             while True:
                 await self._frame(stream)
--- a/mallowquay/net/platform_servers.py
+++ b/mallowquay/net/platform_servers.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import logging
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
-from tornado import gen
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.util import TimeoutError as TornadoTimeout
 
 from ..core.calls import Calls, CallState
 from ..core.model import Attempt, Clock, Ending, Load, Server, ServerStatus
@@ -20,15 +17,15 @@
 from .roster import Roster
 from .statuses import release_ending
 from .streams import (
-    WRITE_BUFFER_MOST,
+    ConnectFailed,
     MessageBuffer,
     TooLong,
     close_ending,
     fill,
     gathered_write,
-    new_socket,
-    quiet,
+    open_stream,
 )
+from .tasks import Tasks
 
 log = logging.getLogger(__name__)
 
@@ -102,19 +99,12 @@
             self.write({"t": "down", "ref": attempt.request.id, "f": {}, "c": 16})
 
     async def _run(self) -> None:
-        stream = IOStream(new_socket(), max_buffer_size=WRITE_BUFFER_MOST)
-        ending = Ending.CONNECTION_SILENT
         try:
-            await gen.with_timeout(self.side.connect_timeout, stream.connect(self.server.address))
-        except TornadoTimeout:
-            stream.close()
-            self._failed(ending)
-            return
-        except StreamClosedError:
-            self._failed(close_ending(stream))
+            stream = await open_stream(self.server.address, self.side.connect_timeout)
+        except ConnectFailed as failed:
+            self._failed(failed.ending)
             return
-        self.connecting, self.stream, self.lost_at = False, quiet(stream), None
-        stream.max_write_buffer_size = WRITE_BUFFER_MOST
+        self.connecting, self.stream, self.lost_at = False, stream, None
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
             # It may have drained while the connection came up: nothing new after that.
@@ -126,8 +116,6 @@
 
     def _failed(self, ending: Ending) -> None:
         self.connecting = False
-        if ending is Ending.CONNECTION_RESET:
-            ending = Ending.CONNECTION_REFUSED  # reset before it stood: nothing ran
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
             self.side.calls.ended(attempt, ending)
@@ -192,18 +180,7 @@
         self.unreadable = 0
         # A call that this process never took is over.
         self.stray_ended: Callable[[str, int], None] = lambda call_id, cause: None
-        self._tasks: set[asyncio.Future[Any]] = set()
-
-    def spawn(self, coroutine: Any) -> None:
-        """Run a coroutine; a fault in it is logged, never lost."""
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._done)
-
-    def _done(self, task: asyncio.Future[Any]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (fault := task.exception()) is not None:
-            log.error("a connection to a log server failed", exc_info=fault)
+        self.spawn = Tasks().spawn
 
     # --- the server list
 
--- a/mallowquay/net/sip/transport.py
+++ b/mallowquay/net/sip/transport.py
@@ -2,34 +2,32 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any
 
-from tornado import gen
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
-from tornado.util import TimeoutError as TornadoTimeout
 
 from ...config import OTHER
 from ...core.model import Ending
 from ..streams import (
     MESSAGE_MOST,
     WRITE_BUFFER_MOST,
+    ConnectFailed,
     MessageBuffer,
     TooLong,
     close_ending,
     fill,
     gathered_write,
-    new_socket,
+    open_stream,
     quiet,
 )
+from ..tasks import Tasks
 from .message import SIP_VERSION, BadMessage, Header, Message, copied_headers, parse, write_response
 
 log = logging.getLogger(__name__)
@@ -82,7 +80,7 @@
         self._connections: set[Connection] = set()
         self._out: dict[Address, Connection] = {}
         self._coming: dict[Address, list[tuple[list[bytes], Failed | None]]] = {}
-        self._tasks: set[asyncio.Future[Any]] = set()
+        self.spawn = Tasks().spawn
         self._server: _Listener | None = None
         self.garbage = 0
 
@@ -171,33 +169,15 @@
         self._coming[address] = [(parts, failed)]
         self.spawn(self._connect(address))
 
-    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Run a coroutine; a fault in it is logged."""
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._done)
-
-    def _done(self, task: asyncio.Future[Any]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (fault := task.exception()) is not None:
-            log.error("a connection failed", exc_info=fault)
-
     async def _connect(self, address: Address) -> None:
-        stream = IOStream(new_socket(), max_buffer_size=WRITE_BUFFER_MOST)
-        ending: Ending | None = None
         try:
-            await gen.with_timeout(self._connect_timeout, stream.connect(address))
-        except TornadoTimeout:
-            ending = Ending.CONNECTION_SILENT
-            stream.close()
-        except StreamClosedError:
-            ending = Ending.CONNECTION_REFUSED
-        waiting = self._coming.pop(address)
-        if ending is not None:
-            for _, failed in waiting:
-                self._fail(failed, ending)
+            stream = await open_stream(address, self._connect_timeout)
+        except ConnectFailed as refused:
+            for _, failed in self._coming.pop(address):
+                self._fail(failed, refused.ending)
             return
-        connection = self._out[address] = Connection(quiet(stream), address, outgoing=True)
+        waiting = self._coming.pop(address)
+        connection = self._out[address] = Connection(stream, address, outgoing=True)
         for parts, _ in waiting:
             connection.write(parts)
         await self.read(connection)
--- a/mallowquay/net/streams.py
+++ b/mallowquay/net/streams.py
@@ -6,8 +6,11 @@
 import logging
 import socket
 from collections.abc import Sequence
+from datetime import timedelta
 
+from tornado import gen
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.util import TimeoutError as TornadoTimeout
 
 from ..core.model import Ending
 
@@ -81,7 +84,7 @@
             _ignore_failure(rest)
             sent = 0
     except (OSError, StreamClosedError, StreamBufferFullError):
-        stream.close()  # it closed, or its far end does not read
+        stream.close(exc_info=True)  # it closed, or its far end does not read
         return False
     return True
 
@@ -91,6 +94,30 @@
     future.add_done_callback(lambda done: done.cancelled() or done.exception())
 
 
+class ConnectFailed(Exception):
+    """A connection did not come up; `ending` says how."""
+
+    def __init__(self, ending: Ending) -> None:
+        super().__init__(ending.value)
+        self.ending = ending
+
+
+async def open_stream(
+    address: tuple[str, int], within: timedelta, read_most: int = WRITE_BUFFER_MOST
+) -> IOStream:
+    """A new connection with bounded buffers, or ConnectFailed."""
+    stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), max_buffer_size=read_most)
+    stream.max_write_buffer_size = WRITE_BUFFER_MOST
+    try:
+        await gen.with_timeout(within, stream.connect(address))
+    except TornadoTimeout:
+        stream.close()
+        raise ConnectFailed(Ending.CONNECTION_SILENT) from None
+    except StreamClosedError:  # reset before it stood is as good as refused: nothing ran
+        raise ConnectFailed(Ending.CONNECTION_REFUSED) from None
+    return quiet(stream)
+
+
 def quiet(stream: IOStream) -> IOStream:
     """Small messages leave at once."""
     stream.set_nodelay(True)
@@ -99,14 +126,4 @@
 
 def close_ending(stream: IOStream) -> Ending:
     """Why a stream closed."""
-    error = stream.error
-    if isinstance(error, ConnectionRefusedError):
-        return Ending.CONNECTION_REFUSED
-    if isinstance(error, OSError):
-        return Ending.CONNECTION_RESET
-    return Ending.CONNECTION_CLOSED
-
-
-def new_socket(family: socket.AddressFamily = socket.AF_INET) -> socket.socket:
-    """A stream socket for an outgoing connection."""
-    return socket.socket(family, socket.SOCK_STREAM)
+    return Ending.CONNECTION_RESET if isinstance(stream.error, OSError) else Ending.CONNECTION_CLOSED
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -261,6 +261,9 @@
         for noise in (b"\x00", b"\xff" * 900, b"SIP/2.0 200 OK\r\n\r\n", b"INVITE\r\n\r\n", b"A" * 20000):
             self.udp.write(noise)
         self.stand(self.udp, "after")
+        self.program.terminate()
+        self.assertEqual(self.program.process.wait(WAIT), 0)
+        self.assertIn("stopped; 12 messages could not be read", self.program.text())
 
 
 class ShortRun(unittest.TestCase):
