Name a log server's transport that is off as a fault of the operator's file

A log server on TCP with sip.tcp left out could not reach the Contact that it was given. Answers to set-ups that were turned away are kept apart from the limit on calls, so that a small limit does not forget them.

--- a/mallowquay/config.py
+++ b/mallowquay/config.py
@@ -289,6 +289,9 @@
     if default_class not in names:
         raise ConfigError(f"sip.default_class names no class: {default_class!r}")
     entries = [_server(entry, index) for index, entry in enumerate(document.get("servers", []))]
+    for index, server in enumerate(entries):
+        if server.transport not in listen:  # its requests to us would find nobody
+            raise ConfigError(f"servers.{index}.transport: sip.{server.transport} is off")
     if len({server.id for server in entries}) < len(entries):
         raise ConfigError("servers: an id is given twice")
     return SipConfig(
--- a/mallowquay/net/consul.py
+++ b/mallowquay/net/consul.py
@@ -20,7 +20,7 @@
 
 log = logging.getLogger(__name__)
 
-SECOND = timedelta(seconds=1)
+CONNECT_WITHIN = timedelta(seconds=5)
 RETRY_LEAST, RETRY_MOST = timedelta(milliseconds=500), timedelta(seconds=15)
 BODY_MOST = 4 * 1024 * 1024
 WAIT_SLACK = 16  # Consul itself adds up to a sixteenth of the wait
@@ -66,11 +66,11 @@
             query["dc"] = config.datacenter
         host, port = config.address
         path = f"/v1/health/service/{quote(config.service, safe='')}?{urlencode(query)}"
-        wait = config.wait + config.wait / WAIT_SLACK + 5 * SECOND
+        wait = config.wait + config.wait / WAIT_SLACK + CONNECT_WITHIN
         request = HTTPRequest(
             f"http://{host}:{port}{path}",
             headers={"X-Consul-Token": config.token} if config.token else None,
-            connect_timeout=5.0,
+            connect_timeout=CONNECT_WITHIN.total_seconds(),
             request_timeout=wait.total_seconds(),
             follow_redirects=False,
         )
--- a/mallowquay/net/sip/front.py
+++ b/mallowquay/net/sip/front.py
@@ -39,6 +39,7 @@
 )
 MANDATORY = ("Via", "From", "To", "Call-ID", "CSeq")
 BUSY_RETRY = ("Retry-After", "2")
+REFUSED_KEPT = 8192  # answers to set-ups turned away: copies come within 64 T1
 EXPIRES_MOST = timedelta(hours=1)
 
 LegKey = tuple[str, str, int]  # Call-ID, From tag, CSeq: the same on either transport
@@ -241,7 +242,7 @@
     def _refuse(self, transaction: InviteServer, key: LegKey) -> None:
         """No room for one more call. Its copies get the same answer, though there be room by then."""
         tag = self._refused.setdefault(key, self.new_tag())
-        if len(self._refused) > self._config.calls_most:
+        if len(self._refused) > REFUSED_KEPT:
             del self._refused[next(iter(self._refused))]
         transaction.respond(503, [BUSY_RETRY], to_tag=tag)
 
--- a/tests/sip_peers.py
+++ b/tests/sip_peers.py
@@ -29,6 +29,7 @@
 t1_ms = 100
 t2_ms = 400
 t4_ms = 500
+calls_most = {most}
 [[classes]]
 name = "log-lookup"
 aim_ms = 2000
@@ -56,9 +57,11 @@
                 continue
 
 
-def operators_file(port: int, servers: list[tuple[int, str]], seed: int = 1, extra: str = "") -> str:
+def operators_file(
+    port: int, servers: list[tuple[int, str]], seed: int = 1, extra: str = "", most: int = 8000
+) -> str:
     """Write an operator's file that names these log servers; its path."""
-    text = TEMPLATE.format(port=port, seed=seed) + extra
+    text = TEMPLATE.format(port=port, seed=seed, most=most) + extra
     for number, (at, transport) in enumerate(servers):
         text += f'[[servers]]\nid = "log-{number}"\naddress = "127.0.0.1:{at}"\ntransport = "{transport}"\n'
     with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as file:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -300,7 +300,7 @@
             ('transport = "tcp"', 'transport = "sctp"', "servers.1.transport"),
             ("[limits]", "[limit]", "limit"),
             ('id = "log-2"', 'id = "log-1"', "servers"), ("sockets = 1024", "sockets = 5", "limits.sockets"),
-            ("5071", "x", "servers.0.address"),
+            ("5071", "x", "servers.0.address"), ('tcp = "127.0.0.1:5060"', "", "servers.1.transport"),
         ):  # fmt: skip
             with self.subTest(named), tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
                 file.write(text.replace(old, new, 1))
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -72,10 +72,12 @@
     return Peer(sock, ("127.0.0.1", far))
 
 
-class SipCase(unittest.TestCase):
+class SipBase(unittest.TestCase):
+    calls_most = 8000
+
     def setUp(self) -> None:
         self.port, ports = sip_port(), [sip_port(), sip_port()]
-        path = operators_file(self.port, [(ports[0], "udp"), (ports[1], "tcp")])
+        path = operators_file(self.port, [(ports[0], "udp"), (ports[1], "tcp")], most=self.calls_most)
         self.addCleanup(os.unlink, path)
         self.program = Process([path], {})
         self.addCleanup(self.program.stop)
@@ -112,6 +114,8 @@
         self.request(peer, "ACK", call, answer.tag("to"), mark="a")
         return answer.tag("to"), invite
 
+
+class SipCase(SipBase):
     def test_a_call_from_invite_to_bye(self) -> None:
         self.request(self.udp, "INVITE", "c1", more=(("Record-Route", "<sip:127.0.0.1:9;lr>"),))
         self.assertTrue(self.udp.next().first.startswith("SIP/2.0 100"))
@@ -266,6 +270,18 @@
         self.assertIn("stopped; 12 messages could not be read", self.program.text())
 
 
+class FullCase(SipBase):
+    calls_most = 1
+
+    def test_copies_of_a_set_up_turned_away_are_answered_alike(self) -> None:
+        self.stand(self.udp, "d1")
+        self.request(self.tcp, "INVITE", "d2")
+        refused = self.tcp.expect("SIP/2.0 503")
+        self.assertGreater(int(refused.get("retry-after")), 0)
+        self.request(self.udp, "INVITE", "d2")
+        self.assertEqual(self.udp.expect("SIP/2.0 503").tag("to"), refused.tag("to"))
+
+
 class ShortRun(unittest.TestCase):
     def test_mixed_transports_with_loss_and_reordering(self) -> None:
         report, memory = run(600, 300.0, seed=11)
