Let stand-ins repeat their 100, and notice every reset of their connection

Two faults of the stand-ins were found by reading them: they noted their TCP connection after a pause, so a reset within the pause went unnoticed; and a silent log server whose 100 was lost did not repeat it, so no CANCEL could be sent (RFC 3261, 9.1).

--- a/tests/sip_peers.py
+++ b/tests/sip_peers.py
@@ -266,8 +266,8 @@
     def _invite(self, heard: Heard, path: Path, track: Track, now: float) -> None:
         call_id = heard.get("call-id")
         if call_id in track.seen:
-            if call_id in self.last:
-                path.write(self.last[call_id])
+            # A copy: the final answer again, or the 100 until there is one.
+            path.write(self.last.get(call_id) or encode("SIP/2.0 100 Trying", heard.copied()))
             return
         self.report.attempts += 1
         if track.out:
@@ -410,15 +410,16 @@
         self.invites[name] = (headers, b"offer " + name.encode())
         transport = chance.choice(("udp", "tcp"))
         plan = chance.random()
+        stream = self.tcp
         self.path(transport).write(self.request(name, "INVITE", transport))
         if plan < 0.15:  # switches its transport
             await asyncio.sleep(chance.random() * 0.02)
-            transport = "tcp" if transport == "udp" else "udp"
+            transport, stream = "tcp" if transport == "udp" else "udp", self.tcp
             self.path(transport).write(self.request(name, "INVITE", transport))
         cancels = 0.15 <= plan < 0.2
         if cancels:
             await asyncio.sleep(chance.random() * 0.02)
-        gap, waited, stream = T1, 0.0, self.tcp
+        gap, waited = T1, 0.0
         while not track.ended.is_set() and waited < 6.0:
             if cancels:  # on either transport
                 way = chance.choice(("udp", "tcp"))
