Resend a 200 on every way that a caller has used, not on the newest alone

All four had begun on UDP, switched to TCP, lost that connection to a reset and gone back to UDP. The 200 was resent on the newest transaction alone (front.py, _resend_after), whose connection was gone, and copies of the INVITE on the first branch were absorbed in Accepted, as RFC 6026 has it. It goes out on each transaction whose connection stands now. A test switches there and back.

--- a/mallowquay/net/sip/front.py
+++ b/mallowquay/net/sip/front.py
@@ -108,9 +108,11 @@
                 self.front.calls.caller_released(self.call_id, NORMAL_CLEARING)
                 self.bye(NORMAL_CLEARING if self.bye_due is None else self.bye_due)
                 return
-            status, extra, body = self.final or (200, [], b"")
-            newest = self.transactions[-1]
-            newest.resend()
+            # On every way that still stands: a caller that switched back sends copies on its first branch,
+            # which that transaction absorbs, and the newest connection may be gone.
+            alive = [known for known in self.transactions if not known.hop.broken]
+            for transaction in alive or self.transactions[-1:]:
+                transaction.resend()
             self._resend_after(min(2 * gap, self.front.layer.timers.t2), until)
 
         self._again = self.front.layer.later(gap, fire)
--- a/mallowquay/net/sip/transport.py
+++ b/mallowquay/net/sip/transport.py
@@ -49,6 +49,11 @@
     connection: Connection | None = None
     fallback: Address | None = None  # for responses once that connection has closed
 
+    @property
+    def broken(self) -> bool:
+        """Whether the connection that it names has closed."""
+        return self.connection is not None and self.connection.stream.closed()
+
     @property
     def reliable(self) -> bool:
         """Whether the transport sends again by itself."""
--- a/tests/sip_peers.py
+++ b/tests/sip_peers.py
@@ -192,6 +192,7 @@
     seen: set[str] = field(default_factory=set)  # INVITEs, by the Call-ID of the server's side
     out: set[str] = field(default_factory=set)
     closed_at: float = -1.0
+    notes: list[str] = field(default_factory=list)  # what its caller did
     ended: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -410,6 +411,7 @@
         self.invites[name] = (headers, b"offer " + name.encode())
         transport = chance.choice(("udp", "tcp"))
         plan = chance.random()
+        track.notes.append(f"{transport} {plan:.2f} {asyncio.get_running_loop().time():.3f}")
         stream = self.tcp
         self.path(transport).write(self.request(name, "INVITE", transport))
         if plan < 0.15:  # switches its transport
@@ -432,6 +434,7 @@
             gap = min(2 * gap, 0.4)
             if transport == "tcp" and self.tcp is not stream:  # reset under the call: goes on over UDP
                 transport = "udp"
+                track.notes.append("reset")
             if not track.ended.is_set() and transport == "udp":
                 self.path("udp").write(self.request(name, "INVITE", "udp"))
 
@@ -546,6 +549,9 @@
     mixed = Counter(tuple(sorted(t.finals)) for t in report.calls.values() if len(t.finals) > 1)
     for finals, count in mixed.most_common(5):
         print(count, [status for status, _ in finals])
+    for name, track in report.calls.items():
+        if not track.finals:
+            print("no answer:", name, track.notes, f"{len(track.seen)} attempts")
     faults = {name: count for name, count in report.faults.items() if count}
     print(f"faults: {faults or 'none'}")
     return 1 if faults else 0
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -164,6 +164,20 @@
         self.assertEqual(self.udp.expect("SIP/2.0 200").tag("to"), answer.tag("to"))
         self.assertTrue(self.server.quiet(0.1, "INVITE"))
 
+    def test_a_200_is_resent_to_a_caller_that_switched_back_after_a_reset(self) -> None:
+        self.request(self.udp, "INVITE", "c11")
+        invite = self.server.expect("INVITE")
+        self.request(self.tcp, "INVITE", "c11")
+        self.tcp.expect("SIP/2.0 100")
+        self.server.reply(invite, 200, self.server_contact)
+        self.tcp.expect("SIP/2.0 200")
+        self.udp.expect("SIP/2.0 200")  # as good as lost
+        self.tcp.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.tcp.sock.close()
+        self.request(self.udp, "INVITE", "c11")  # a copy on the first branch
+        for _ in range(3):
+            self.udp.expect("SIP/2.0 200")
+
     def test_a_refusal_is_repeated_to_a_late_copy(self) -> None:
         self.request(self.tcp, "INVITE", "c4")
         self.server.reply(self.server.expect("INVITE"), 486)
