Release what stands behind a link that has been silent for 7.6 s

At fault: Link knew only connections that close (platform_servers.py, _look_after_standing). Ruled out: the coordinator's feed, which did not break.

--- a/mallowquay/net/platform_servers.py
+++ b/mallowquay/net/platform_servers.py
@@ -8,14 +8,14 @@
 from datetime import timedelta
 from typing import Any
 
-from tornado.ioloop import IOLoop
+from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.iostream import IOStream, StreamClosedError
 
 from ..core.calls import Calls, CallState
 from ..core.model import Attempt, Clock, Ending, Load, Server, ServerStatus
 from .load import read_load
 from .roster import Roster
-from .statuses import release_ending
+from .statuses import INTERWORKING_CUT, release_ending
 from .streams import (
     ConnectFailed,
     MessageBuffer,
@@ -31,6 +31,11 @@
 
 MILLISECOND = timedelta(milliseconds=1)
 LOOK_AGAIN = timedelta(milliseconds=500)  # a lost connection under standing calls is tried anew
+# Free lines are told about once a second. A link that says nothing for so long is cut off, and what ended
+# behind it could not be told: it must be released within 8 s of its end, known or not.
+SILENT_MOST = timedelta(milliseconds=7600)
+WATCH_EVERY = timedelta(milliseconds=100)
+WORTH_A_WORD = timedelta(seconds=2)
 LOST_AFTER = timedelta(seconds=6)  # and after so long they are taken as cut: 8 s are allowed
 
 # Causes of a release before the answer, and after it; any other is a fault or a cut.
@@ -64,6 +69,7 @@
         self.connecting = False
         self.waiting: list[Attempt] = []  # not sent yet: the connection is coming up
         self.open: dict[str, Attempt] = {}  # sent on this connection, unanswered
+        self.heard_at = timedelta(0)
         self.lost_at: timedelta | None = None  # since when standing calls have no connection
 
     def connect(self) -> None:
@@ -105,6 +111,7 @@
             self._failed(failed.ending)
             return
         self.connecting, self.stream, self.lost_at = False, stream, None
+        self.heard_at = self.side.clock()
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
             # It may have drained while the connection came up: nothing new after that.
@@ -127,6 +134,7 @@
         try:
             while True:
                 await fill(stream, buffer)
+                self._heard()
                 while (at := buffer.data.find(b"\n", buffer.start, buffer.end)) >= 0:
                     line = bytes(memoryview(buffer.data)[buffer.start : at])
                     buffer.start = at + 1
@@ -147,6 +155,16 @@
             self.side.calls.ended(attempt, ending)
         self._look_after_standing(refused=False)
 
+    def _heard(self) -> None:
+        now = self.side.clock()
+        if now - self.heard_at >= WORTH_A_WORD:
+            log.info("log server %s was silent for %s", self.server.id, now - self.heard_at)
+        self.heard_at = now
+
+    def silent(self) -> bool:
+        """Whether the connection stands and nothing has come on it for too long."""
+        return self.stream is not None and self.side.clock() - self.heard_at >= SILENT_MOST
+
     def _look_after_standing(self, refused: bool) -> None:
         """Standing calls outlive a connection, but not the process: a refused one proves that it died."""
         now = self.side.clock()
@@ -181,6 +199,14 @@
         # A call that this process never took is over.
         self.stray_ended: Callable[[str, int], None] = lambda call_id, cause: None
         self.spawn = Tasks().spawn
+        self._watch = PeriodicCallback(self.watch, WATCH_EVERY)
+        self._watch.start()
+
+    def watch(self) -> None:
+        """Release what stands behind links that are cut off: nobody can tell whether it still does."""
+        for link in list(self.links.values()):
+            if link.silent():
+                self.cut_standing(link.server.id, Ending.CONNECTION_SILENT)
 
     # --- the server list
 
@@ -219,6 +245,10 @@
         if link is not None:
             link.write({"t": "down", "ref": attempt.request.id, "f": {}, "c": cause})
 
+    def hang_up(self, attempt: Attempt) -> None:
+        """A standing call is taken as cut: should its server live on, it is to know."""
+        self.release(attempt, INTERWORKING_CUT)
+
     def release_stray(self, call_id: str, cause: int) -> None:
         """A caller ended a call that this process never took: whichever server holds it releases it."""
         for link in self.links.values():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import socket
@@ -10,8 +11,13 @@
 import unittest
 
 from support import SETTINGS, WAIT, Caller, LogServer, Process, free_port
+from test_core import MS, CoreCase
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream
 
+from mallowquay.core.model import Ending, ListTold, Server, ServerStatus
 from mallowquay.net.coordinator import FRAME, RECORD
+from mallowquay.net.platform_servers import PlatformServers
 
 
 class PlatformCase(unittest.TestCase):
@@ -233,5 +239,28 @@
         self.assertEqual(self.program.process.wait(WAIT), 0)
 
 
+class Silence(CoreCase):
+    def test_what_stands_behind_a_silent_link_is_released_in_time(self) -> None:
+        asyncio.run(self.silence())
+
+    async def silence(self) -> None:
+        side = PlatformServers(self.calls, IOLoop.current(), self.clock, 500 * MS)
+        self.calls.attach(side)
+        server = Server("s0", ("127.0.0.1", 1), 0, ServerStatus.READY)
+        side.list_told(ListTold((server,), whole=True))
+        link, sock = side.links["s0"], socket.socket()
+        self.addCleanup(sock.close)
+        link.stream, link.heard_at = IOStream(sock), self.clock.now
+        caller, idle = self.offer(), self.offer("b")
+        self.calls.stood(link.open["a"], "text")
+        self.clock.now += 7500 * MS
+        side.watch()
+        self.assertEqual(caller.releases, [])
+        self.clock.now += 200 * MS  # 8 s are allowed from the end that could not be told
+        side.watch()
+        side.watch()
+        self.assertEqual((caller.releases, idle.releases), ([Ending.CONNECTION_SILENT], []))
+
+
 if __name__ == "__main__":
     unittest.main()
