Read the configuration anew on SIGHUP and move the feed to the new coordinator

At fault: __main__.serve had no handler; Coordinator.follow had one address for good. Also ruled on: a frame stopped midway could take 3 s for its head and 3 s more for its payload (_frame), past the 4 s of a stop. Now SIGHUP reads the file again, Coordinator.move cancels the session and asks the new address from the number reached; a faulty file is logged with its key. The whole frame has 2.2 s. Events written twice were applied once already (apply compares numbers): ruled out. The second front takes the servers of its file as the new list.

--- a/mallowquay/__main__.py
+++ b/mallowquay/__main__.py
@@ -56,6 +56,7 @@
         self.metronome = Metronome(self.loop, self.calls)
         self.front: PlatformFront | SipFront | None = None
         self.unreadable: Callable[[], int] = lambda: 0  # messages that were dropped or answered as bad
+        self._reload: Callable[[Config], None] = lambda settings: None  # what a new file changes at once
 
     def start_platform(self, platform: PlatformConfig) -> None:
         """Listen for the platform's callers and follow its coordinator."""
@@ -82,6 +83,7 @@
             told(event)
         self.coordinator = Coordinator(platform.coordinator, index, unix, told)
         servers.spawn(self.coordinator.follow())
+        self._reload = self._reload_platform
         host, port = platform.listen
         front.add_sockets(bind_sockets(port, host, backlog=BACKLOG))
         log.info("%s serves at %s:%d", platform.name, host, port)
@@ -110,6 +112,7 @@
             transport.spawn(Consul(self.config.consul, UnixTime(), told, chance).follow())
         else:
             told(ListTold(sip.servers, whole=True))
+            self._reload = partial(self._reload_sip, told)
         if self.config.xds is not None:
             start = f"{secrets.randbits(32):08x}"
             endpoints = Endpoints(
@@ -126,6 +129,26 @@
     def _later(self, delay: timedelta, action: Callable[[], None]) -> asyncio.TimerHandle:
         return asyncio.get_running_loop().call_later(delay.total_seconds(), action)
 
+    def reload(self, read: Callable[[], Config]) -> None:
+        """SIGHUP: take from a new file what can change under calls; one that is faulty changes nothing."""
+        try:
+            settings = read()
+            self._reload(settings)
+        except ConfigError as fault:
+            log.error("the new configuration is not taken, the one before stays: %s", fault)
+            return
+        rest = ", ".join(config.fixed_changes(self.config, settings))
+        log.info("the configuration was read anew%s", f"; at the next start only: {rest}" if rest else "")
+
+    def _reload_platform(self, settings: Config) -> None:
+        if settings.platform is not None:
+            self.coordinator.move(settings.platform.coordinator)
+
+    def _reload_sip(self, told: Callable[[ListTold], None], settings: Config) -> None:
+        if settings.sip is None or settings.consul is not None:
+            raise ConfigError("servers: the source of the list changes at a start only")
+        told(ListTold(settings.sip.servers, whole=True))
+
     def stop(self) -> None:
         """SIGTERM: finish what was taken, and go on accepting for the time that callers may still come."""
         if self.stopped_at is not None:
@@ -150,10 +173,11 @@
     return f"{chance.getrandbits(64):016x}"
 
 
-async def serve(settings: Config) -> None:
-    """Run until SIGTERM or SIGINT has been carried out."""
+async def serve(settings: Config, read: Callable[[], Config]) -> None:
+    """Run until SIGTERM or SIGINT has been carried out; `read` reads the configuration anew."""
     program = Program(settings)
     loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, program.reload, read)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, program.stop)
     if settings.platform is not None:
@@ -171,13 +195,15 @@
     logging.basicConfig(
         level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it means a new file, and the file is yet to be read
+    read = partial(config.of_process, sys.argv[1:], os.environ)
     try:
-        settings = config.of_process(sys.argv[1:], os.environ)
+        settings = read()
     except ConfigError as fault:
         print(f"mallowquay: configuration: {fault}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(settings))
+        asyncio.run(serve(settings, read))
     except ConfigError as fault:
         print(f"mallowquay: configuration: {fault}", file=sys.stderr)
         return 2
--- a/mallowquay/config.py
+++ b/mallowquay/config.py
@@ -6,7 +6,7 @@
 import secrets
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Any
 
@@ -398,3 +398,18 @@
     if len(arguments) > 1:
         raise ConfigError(f"one file at most, not {len(arguments)}")
     return load_operator(arguments[0]) if arguments else load(environment)
+
+
+def fixed_changes(before: Config, after: Config) -> list[str]:
+    """The keys whose new values wait for the next start."""
+    pairs = [
+        ("settings", before.settings, after.settings),
+        ("limits.sockets", before.sockets, after.sockets),
+        ("consul", before.consul, after.consul),
+        ("xds", before.xds, after.xds),
+    ]
+    if before.platform is not None and after.platform is not None:
+        pairs.append(("listen", before.platform.listen, after.platform.listen))
+    if before.sip is not None and after.sip is not None:
+        pairs.append(("sip", replace(before.sip, servers=()), replace(after.sip, servers=())))
+    return [key for key, old, new in pairs if old != new]
--- a/mallowquay/net/coordinator.py
+++ b/mallowquay/net/coordinator.py
@@ -10,9 +10,7 @@
 from datetime import timedelta
 from typing import Any
 
-from tornado import gen
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.util import TimeoutError as TornadoTimeout
 
 from ..core.model import ListTold, Server, ServerStatus
 from .clock import UnixTime
@@ -31,8 +29,10 @@
     "terminating": ServerStatus.DRAINING,
     "terminated": ServerStatus.GONE,
 }
-CONNECT_WITHIN = timedelta(seconds=1)
-SILENT_AFTER = timedelta(seconds=3)  # an empty frame comes each second
+CONNECT_WITHIN = timedelta(milliseconds=800)
+# An empty frame comes each second. A feed that stops while open, midway in a frame or between two, must be
+# left early enough to be followed anew within the 4 s that its events may take.
+SILENT_AFTER = timedelta(milliseconds=2200)
 RETRY_AFTER = timedelta(milliseconds=200)
 
 
@@ -79,6 +79,14 @@
     return Server(entry["id"], (host, int(port)), int(entry.get("cell", -1)), status, started)
 
 
+async def _read_frame(stream: IOStream) -> tuple[int, int, bytes]:
+    length, number, kind = FRAME.unpack(await stream.read_bytes(FRAME.size))
+    if not LENGTH_HEAD <= length <= FRAME_MOST:
+        raise FeedError(f"a frame of {length} bytes")
+    payload = await stream.read_bytes(length - LENGTH_HEAD) if length > LENGTH_HEAD else b""
+    return number, kind, payload
+
+
 class Coordinator:
     """Follows the feed for as long as the program runs."""
 
@@ -87,35 +95,44 @@
     ) -> None:
         self._address, self._unix, self._tell = address, unix, tell
         self.index = index
+        self._session: asyncio.Future[None] | None = None
 
     async def follow(self) -> None:
         """Connect, apply events in order, and connect again from the last one when the feed breaks."""
         while True:
+            session = self._session = asyncio.ensure_future(self._follow_one(self._address))
             try:
-                await self._session()
-            except (FeedError, ConnectFailed, StreamClosedError, TornadoTimeout) as fault:
-                log.info("coordinator: %s", str(fault) or type(fault).__name__)
+                await asyncio.wait([session])
+            finally:
+                session.cancel()
+            if session.cancelled():  # it has moved: the new address is asked at once
+                continue
+            fault = session.exception()
+            expected = isinstance(fault, FeedError | ConnectFailed | StreamClosedError | TimeoutError)
+            log.log(logging.INFO if expected else logging.ERROR, "coordinator: %s",
+                    str(fault) or type(fault).__name__, exc_info=None if expected else fault)  # fmt: skip
             await asyncio.sleep(RETRY_AFTER.total_seconds())
 
-    async def _session(self) -> None:
-        stream = await open_stream(self._address, CONNECT_WITHIN, 2 * FRAME_MOST)
+    def move(self, address: tuple[str, int]) -> None:
+        """Go on at another address from the number reached, without awaiting the old one's last words."""
+        if address == self._address:
+            return
+        log.info("coordinator: from %s:%d to %s:%d after event %d", *self._address, *address, self.index)
+        self._address = address
+        if self._session is not None:
+            self._session.cancel()
+
+    async def _follow_one(self, address: tuple[str, int]) -> None:
+        stream = await open_stream(address, CONNECT_WITHIN, 2 * FRAME_MOST)
         try:
             await stream.write(self.index.to_bytes(8, "big"))
-            while True:
-                await self._frame(stream)
+            while True:  # the time is that of a whole frame, however its bytes drip in
+                async with asyncio.timeout(SILENT_AFTER.total_seconds()):
+                    number, kind, payload = await _read_frame(stream)
+                self.apply(number, kind, payload)
         finally:
             stream.close()
 
-    async def _frame(self, stream: IOStream) -> None:
-        head = await gen.with_timeout(SILENT_AFTER, stream.read_bytes(FRAME.size))
-        length, number, kind = FRAME.unpack(head)
-        if not LENGTH_HEAD <= length <= FRAME_MOST:
-            raise FeedError(f"a frame of {length} bytes")
-        payload = b""
-        if length > LENGTH_HEAD:
-            payload = await gen.with_timeout(SILENT_AFTER, stream.read_bytes(length - LENGTH_HEAD))
-        self.apply(number, kind, payload)
-
     def apply(self, number: int, kind: int, payload: bytes) -> None:
         """Apply one frame: an event applied before is passed over, a gap is not crossed by changes."""
         if kind == NOTHING or number <= self.index:
--- a/mallowquay/net/streams.py
+++ b/mallowquay/net/streams.py
@@ -109,7 +109,10 @@
     stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), max_buffer_size=read_most)
     stream.max_write_buffer_size = WRITE_BUFFER_MOST
     try:
-        await gen.with_timeout(within, stream.connect(address))
+        await gen.with_timeout(within, stream.connect(address), quiet_exceptions=StreamClosedError)
+    except asyncio.CancelledError:  # nobody waits for it any more
+        stream.close()
+        raise
     except TornadoTimeout:
         stream.close()
         raise ConnectFailed(Ending.CONNECTION_SILENT) from None
--- a/tests/support.py
+++ b/tests/support.py
@@ -49,6 +49,17 @@
             cwd=ROOT, env={**os.environ, **environment}, stderr=self.log, stdout=self.log,
         )  # fmt: skip
 
+    def hang_up(self) -> None:
+        self.process.send_signal(signal.SIGHUP)
+
+    def wait_for(self, word: str) -> None:
+        """Until the log holds a word."""
+        end = time.monotonic() + WAIT
+        while word not in self.text():
+            if time.monotonic() > end or self.process.poll() is not None:
+                raise AssertionError(f"{word!r} is not in the log: {self.text()}")
+            time.sleep(0.005)
+
     def terminate(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -30,7 +30,7 @@
         self.port = free_port()
         update = {"index": 1, "endpoints": {"version": 1, "full": True,
                   "servers": [server.entry() for server in self.log_servers]}}  # fmt: skip
-        document = {
+        document = self.document = {
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "coordinator": f"127.0.0.1:{self.coordinator.getsockname()[1]}",
@@ -38,6 +38,7 @@
         }  # fmt: skip
         with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
             json.dump(document, file)
+        self.file = file.name
         self.addCleanup(os.unlink, file.name)
         self.program = Process([], {"LB_CONFIG": file.name, "LB_LISTEN": f"127.0.0.1:{self.port}"})
         self.addCleanup(self.program.stop)
@@ -187,6 +188,54 @@
         self.feed.settimeout(WAIT)
         self.assertEqual(int.from_bytes(self.feed.recv(8), "big"), 2)
 
+    def replace_file(self, text: str) -> None:
+        with open(self.file + ".new", "w", encoding="utf-8") as file:
+            file.write(text)
+        os.replace(self.file + ".new", self.file)
+        self.program.hang_up()
+
+    def test_sighup_moves_the_feed_and_keeps_calls_and_connections(self) -> None:
+        self.set_up("00000000000000c1")
+        self.caller.invite("00000000000000c2")
+        self.log_servers[0].read()
+        self.tell(self.log_servers[1], 2)
+        self.assertRaises(EOFError, lambda: [self.log_servers[1].read() for _ in range(9)])  # it was heard
+        other = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(other.close)
+        other.settimeout(WAIT)
+        self.document["coordinator"] = f"127.0.0.1:{other.getsockname()[1]}"
+        self.coordinator.close()
+        self.replace_file(json.dumps(self.document))
+        moved_at = time.monotonic()
+        feed, _ = other.accept()  # while the old one is still open
+        self.assertLess(time.monotonic() - moved_at, 1.0)
+        feed.settimeout(WAIT)
+        self.assertEqual(int.from_bytes(feed.recv(8), "big"), 2)  # from the number reached
+        self.log_servers[0].say("up", "00000000000000c2", text="answer")
+        self.assertEqual(self.caller.read()[""], "SIP/2.0 200 OK")
+        self.feed, self.index = feed, 2
+        self.tell(self.log_servers[0], 2)  # the new one is listened to: both calls there are cut
+        releases = {self.caller.read()["call-id"] for _ in range(2)}
+        self.assertEqual(releases, {"00000000000000c1", "00000000000000c2"})
+
+    def test_a_faulty_file_is_named_by_its_key_and_the_old_one_stays(self) -> None:
+        self.document["coordinator"] = "nowhere"
+        self.replace_file(json.dumps(self.document))
+        self.program.wait_for("coordinator must be host:port")
+        self.replace_file('{"coordinator":')
+        self.program.wait_for("is not JSON")
+        self.tell(self.log_servers[0], 0, started_ms=1)  # the old feed is still followed
+        self.set_up("00000000000000c3")
+
+    def test_a_feed_that_stops_midway_in_a_frame_is_asked_anew_in_time(self) -> None:
+        record = RECORD.pack(0, bytes(4), 1, 1, 0, 0, 0, 0, 0)
+        self.feed.sendall((FRAME.pack(9 + len(record), 2, 2) + record)[:-9])
+        stopped_at = time.monotonic()
+        feed, _ = self.coordinator.accept()
+        feed.settimeout(WAIT)
+        self.assertLess(time.monotonic() - stopped_at, 3.0)
+        self.assertEqual(int.from_bytes(feed.recv(8), "big"), 1)
+
     def test_a_call_of_a_process_before_is_released_both_ways(self) -> None:
         self.caller.send("BYE", "00000000000000ac", "Reason: Q.850;cause=16")
         self.assertEqual(self.caller.read()[""], "SIP/2.0 200 OK")
