Leave a log server's connection at the first spoilt, half or missing answer

A trace of raw lines showed that after a spoilt line (noise, a line cut by its line feed, one that never ends) or an answer that never came, the connection stays open and says nothing more, free lines included; all later set-ups on it were lost. At fault: PlatformServers.take passed over what it could not read; nothing noticed half a line or a mute connection; an 'up' without a string 'd' became a 200 with an empty description; a connection reset before it stood was taken as refused and cut what stood (streams.open_stream); a link removed while connecting left its connection open. Words of free lines come every 0.50 s (0.49 to 0.53, one miss), so a gap of 1.6 is one missed. Second copies and answers under unknown ids were harmless already; now a test says so.

--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -329,6 +329,7 @@
         Ending.PROCESSOR_FULL,
         Ending.MOOT,
         Ending.CONNECTION_REFUSED,
+        Ending.CONNECTION_FAILED,
         Ending.CONNECTION_SILENT,
     }
 )
--- a/mallowquay/net/platform_servers.py
+++ b/mallowquay/net/platform_servers.py
@@ -30,13 +30,19 @@
 log = logging.getLogger(__name__)
 
 MILLISECOND = timedelta(milliseconds=1)
-LOOK_AGAIN = timedelta(milliseconds=500)  # a lost connection under standing calls is tried anew
-# Free lines are told about once a second. A link that says nothing for so long is cut off, and what ended
-# behind it could not be told: it must be released within 8 s of its end, known or not.
+LOOK_AGAIN = timedelta(milliseconds=500)  # a lost connection is tried anew
+# What ended behind a link that says nothing, or that is gone, could not be told: it must be released within
+# 8 s of its end, known or not.
 SILENT_MOST = timedelta(milliseconds=7600)
-WATCH_EVERY = timedelta(milliseconds=100)
-WORTH_A_WORD = timedelta(seconds=2)
-LOST_AFTER = timedelta(seconds=6)  # and after so long they are taken as cut: 8 s are allowed
+WATCH_EVERY = timedelta(milliseconds=50)
+# A line that has begun is whole at once: one that is not so by now has been cut off; nothing behind it can
+# be read.
+LINE_WITHIN = timedelta(milliseconds=200)
+# Free lines are told at even gaps. A connection that misses them is of no further use, though it stays open.
+MUTE_GAPS = 1.6
+MUTE_LEAST, MUTE_UNKNOWN = timedelta(milliseconds=600), timedelta(seconds=3)
+GAP_MEMORY = 0.1
+RESTED = timedelta(milliseconds=100)  # one that broke sooner after it came up is opened anew after this pause
 
 # Causes of a release before the answer, and after it; any other is a fault or a cut.
 BEFORE_ANSWER = {
@@ -60,21 +66,39 @@
     return BEFORE_ANSWER.get(number, Ending.FAULT)
 
 
+def read_description(text: object) -> str:
+    """The description of an answer; one that is spoilt must never be passed on as good."""
+    if not isinstance(text, str):
+        raise Unreadable("an answer without a description")
+    try:
+        text.encode()
+    except UnicodeEncodeError as fault:  # half of a surrogate pair
+        raise Unreadable(f"a description that is no text: {fault}") from fault
+    return text
+
+
+class Unreadable(Exception):
+    """A log server sent what cannot be read; nothing more that comes on the connection is trusted."""
+
+
 class Link:
     """The connection to one log server, opened when it is needed."""
 
     def __init__(self, side: PlatformServers, server: Server) -> None:
         self.side, self.server = side, server
         self.stream: IOStream | None = None
-        self.connecting = False
+        self.connecting = self.closed = False
         self.waiting: list[Attempt] = []  # not sent yet: the connection is coming up
         self.open: dict[str, Attempt] = {}  # sent on this connection, unanswered
-        self.heard_at = timedelta(0)
-        self.lost_at: timedelta | None = None  # since when standing calls have no connection
+        self.heard_at = self.opened_at = self.side.clock()
+        self.line_since: timedelta | None = None  # since when a line has begun and is not whole
+        self.told_at: timedelta | None = None  # when free lines were told last on this connection
+        self.told_gap: timedelta | None = None  # and how long apart they are usually
+        self.looks_mute = False
 
     def connect(self) -> None:
         """Open the connection unless it is open or coming."""
-        if self.stream is None and not self.connecting:
+        if self.stream is None and not self.connecting and not self.closed:
             self.connecting = True
             self.side.spawn(self._run())
 
@@ -110,8 +134,12 @@
         except ConnectFailed as failed:
             self._failed(failed.ending)
             return
-        self.connecting, self.stream, self.lost_at = False, stream, None
-        self.heard_at = self.side.clock()
+        self.connecting = False
+        if self.closed:  # the server went from the list meanwhile
+            stream.close()
+            return
+        self.stream, self.opened_at = stream, self.side.clock()
+        self.line_since, self.told_at, self.looks_mute = None, None, False
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
             # It may have drained while the connection came up: nothing new after that.
@@ -126,7 +154,12 @@
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
             self.side.calls.ended(attempt, ending)
-        self._look_after_standing(refused=ending is Ending.CONNECTION_REFUSED)
+        if self.closed:
+            return
+        if ending is Ending.CONNECTION_REFUSED:  # standing calls outlive a connection, but not the process
+            self.side.cut_standing(self.server.id, Ending.CONNECTION_RESET)
+        if self.side.calls.standing_at(self.server.id):
+            self.side.loop.add_timeout(LOOK_AGAIN, self.connect)
 
     async def _read(self, stream: IOStream) -> None:
         buffer = MessageBuffer()
@@ -137,51 +170,67 @@
                 self._heard()
                 while (at := buffer.data.find(b"\n", buffer.start, buffer.end)) >= 0:
                     line = bytes(memoryview(buffer.data)[buffer.start : at])
-                    buffer.start = at + 1
+                    buffer.start, self.line_since = at + 1, None
                     self.side.take(self, line)
+                    if self.stream is not stream:
+                        return
+                if buffer.start < buffer.end and self.line_since is None:
+                    self.line_since = self.side.clock()
         except StreamClosedError:
-            pass
-        except TooLong as fault:
+            ending = close_ending(stream)
+        except (TooLong, Unreadable) as fault:
+            self.side.unreadable += 1
             log.warning("log server %s: %s", self.server.id, fault)
             ending = Ending.UNREADABLE
+        self._broken(stream, ending)
+
+    def _broken(self, stream: IOStream, ending: Ending) -> None:
+        """The connection is over: so is each attempt on it, and a new one comes up at once."""
         stream.close()
         if self.stream is not stream:
             return
         self.stream = None
-        ending = ending or close_ending(stream)
         log.info("log server %s: %s", self.server.id, ending.value)
         broken, self.open = list(self.open.values()), {}
         for attempt in broken:
             self.side.calls.ended(attempt, ending)
-        self._look_after_standing(refused=False)
+        if self.server.status is ServerStatus.READY or self.side.calls.standing_at(self.server.id):
+            rested = self.side.clock() - self.opened_at >= RESTED
+            self.connect() if rested else self.side.loop.add_timeout(RESTED, self.connect)
 
     def _heard(self) -> None:
-        now = self.side.clock()
-        if now - self.heard_at >= WORTH_A_WORD:
-            log.info("log server %s was silent for %s", self.server.id, now - self.heard_at)
-        self.heard_at = now
+        self.heard_at, self.looks_mute = self.side.clock(), False
 
-    def silent(self) -> bool:
-        """Whether the connection stands and nothing has come on it for too long."""
-        return self.stream is not None and self.side.clock() - self.heard_at >= SILENT_MOST
+    def told(self) -> None:
+        """Free lines were told, unasked: they come at even gaps."""
+        before, self.told_at = self.told_at, self.heard_at
+        if before is not None:
+            gap, usual = self.told_at - before, self.told_gap or timedelta(0)
+            self.told_gap = max(gap, usual + (gap - usual) * GAP_MEMORY)
 
-    def _look_after_standing(self, refused: bool) -> None:
-        """Standing calls outlive a connection, but not the process: a refused one proves that it died."""
+    def watch(self) -> None:
+        """Leave a connection that is of no further use, and release what cannot be told any more."""
         now = self.side.clock()
-        if self.stream is not None or not self.side.calls.standing_at(self.server.id):
-            self.lost_at = None
-            return
-        self.lost_at = now if self.lost_at is None else self.lost_at
-        if refused or now - self.lost_at >= LOST_AFTER:
-            self.lost_at = None
-            self.side.cut_standing(self.server.id, Ending.CONNECTION_RESET)
-        elif now == self.lost_at:
-            self.connect()
-        else:
-            self.side.loop.add_timeout(LOOK_AGAIN, self.connect)
+        if self.stream is not None:
+            quiet = now - max(self.heard_at, self.opened_at)
+            if self.line_since is not None and now - self.line_since >= LINE_WITHIN:
+                log.warning("log server %s: a line is not whole after %s", self.server.id, LINE_WITHIN)
+                self._broken(self.stream, Ending.UNREADABLE)
+            elif quiet < self._mute_after():
+                self.looks_mute = False
+            elif not self.looks_mute:
+                self.looks_mute = True  # looked at twice: this process may have stood still, with all unread
+            else:
+                self._broken(self.stream, Ending.CONNECTION_MUTE)
+        if now - self.heard_at >= SILENT_MOST:
+            self.side.cut_standing(self.server.id, Ending.CONNECTION_SILENT)
+
+    def _mute_after(self) -> timedelta:
+        return MUTE_UNKNOWN if self.told_gap is None else max(MUTE_LEAST, self.told_gap * MUTE_GAPS)
 
     def close(self) -> None:
         """Close the connection of a server that is gone."""
+        self.closed = True
         stream, self.stream = self.stream, None
         if stream is not None:
             stream.close()
@@ -203,10 +252,9 @@
         self._watch.start()
 
     def watch(self) -> None:
-        """Release what stands behind links that are cut off: nobody can tell whether it still does."""
+        """Look after each connection."""
         for link in list(self.links.values()):
-            if link.silent():
-                self.cut_standing(link.server.id, Ending.CONNECTION_SILENT)
+            link.watch()
 
     # --- the server list
 
@@ -257,26 +305,30 @@
     # --- what servers say
 
     def take(self, link: Link, line: bytes) -> None:
-        """One line from a log server; what cannot be read is counted and passed over."""
-        try:
-            said = json.loads(line) if line.strip() else {"t": ""}
-        except (ValueError, RecursionError):
-            said = None
-        if not isinstance(said, dict):
-            self.unreadable += 1
-            log.warning("log server %s sent what cannot be read", link.server.id)
+        """One line from a log server; Unreadable if it is not what the protocol says."""
+        if not line.strip():
             return
-        kind, ref = said.get("t"), said.get("ref")
-        fields = said.get("f")
-        fields = fields if isinstance(fields, dict) else {}
+        try:
+            said = json.loads(line)
+        except (ValueError, RecursionError) as fault:
+            raise Unreadable(f"a line is not JSON: {fault}") from fault
+        if not isinstance(said, dict) or not isinstance(said.get("t"), str):
+            raise Unreadable("a line is no message")
+        kind, ref, fields = said["t"], said.get("ref"), said.get("f", {})
+        if kind not in ("gauge", "up", "down"):
+            return  # free, or not for us
+        if not isinstance(fields, dict):
+            raise Unreadable(f"the fields of {kind} are no object")
         load = read_load(fields.get("load"))
         if kind == "gauge":
+            link.told()
             if load:
                 self.calls.load_told(link.server.id, load)
-        elif kind == "up" and isinstance(ref, str):
-            description = said.get("d")
-            self._up(link, ref, description if isinstance(description, str) else "", load)
-        elif kind == "down" and isinstance(ref, str):
+        elif not isinstance(ref, str):
+            raise Unreadable(f"{kind} without an id")
+        elif kind == "up":
+            self._up(link, ref, read_description(said.get("d")), load)
+        else:
             self._down(link, ref, said.get("c"), fields.get("note"), load)
 
     def _up(self, link: Link, ref: str, description: str, load: Load) -> None:
--- a/mallowquay/net/streams.py
+++ b/mallowquay/net/streams.py
@@ -116,8 +116,9 @@
     except TornadoTimeout:
         stream.close()
         raise ConnectFailed(Ending.CONNECTION_SILENT) from None
-    except StreamClosedError:  # reset before it stood is as good as refused: nothing ran
-        raise ConnectFailed(Ending.CONNECTION_REFUSED) from None
+    except StreamClosedError:  # nothing ran; but only a refusal proves that no process is there
+        refused = isinstance(stream.error, ConnectionRefusedError)
+        raise ConnectFailed(Ending.CONNECTION_REFUSED if refused else Ending.CONNECTION_FAILED) from None
     return quiet(stream)
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -103,7 +103,8 @@
         self.assertEqual(set(OUTCOMES), set(Ending))
         self.assertEqual(set(OUTCOMES.values()), set(Outcome))
         self.assertEqual({ending for ending in Ending if OUTCOMES[ending] is Outcome.CONNECT_FAILED},
-                         {Ending.CONNECTION_REFUSED, Ending.CONNECTION_SILENT})  # fmt: skip
+                         {Ending.CONNECTION_REFUSED, Ending.CONNECTION_FAILED,
+                          Ending.CONNECTION_SILENT})  # fmt: skip
 
     def test_pick_names_a_server_and_report_the_next_one(self) -> None:
         picked = self.decisions.pick(self.request())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -261,11 +261,60 @@
         self.assertEqual(self.caller.read()[""], "SIP/2.0 400 Bad Request")
         self.caller.send("INVITE", "bad2", "P-Kind: log-lookup", "P-Time-Left: soon")
         self.assertEqual(self.caller.read()[""], "SIP/2.0 400 Bad Request")
-        self.log_servers[0].raw(b'[1]\n{"t":"up"}\nnot json\n{"t":"up","ref":"z","f":7,"d":[]}\n\xff\n')
-        self.log_servers[1].raw(b"x" * 20000)
-        self.assertEqual(self.log_servers[0].read()["ref"], "z")  # nobody waits for it: released
         self.set_up("00000000000000ae")
 
+    def test_a_connection_with_a_spoilt_answer_is_left_and_its_calls_go_on(self) -> None:
+        server = self.log_servers[0]
+        spoilt = [b"[1]\n", b'{"t":"up"}\n', b"not json\n", b"\xff\xfe\r\n\r\n", b"A" * 20000,
+                  b'{"t":"up","ref":"%b","f":7,"d":"x"}\n', b'{"t":"up","ref":"%b","f":{},"d":[]}\n',
+                  b'{"t":"up","ref":"%b","f":{}}\n', b'{"t":"up","ref":"%b","f":{},"d":"\\ud800"}\n',
+                  b'{"t":"up","ref":"%b","d":"cut o\n', b'{"t":"up","ref":"%b","d":"stops short']  # fmt: skip
+        for number, line in enumerate(spoilt):
+            call_id = f"00000000000001{number:02x}"
+            self.caller.invite(call_id, dest=0)
+            other = f"00000000000002{number:02x}"
+            self.caller.invite(other, dest=0)
+            for _ in range(2):
+                server.read()
+            server.raw(line.replace(b"%b", call_id.encode()))
+            broken_at = time.monotonic()
+            self.assertRaises((EOFError, ConnectionError), lambda: [server.read() for _ in range(9)])
+            server.accept()
+            again = [server if not server.silent(2.0) else self.log_servers[1]] * 2
+            refs = {one.read()["ref"] for one in again}
+            self.assertEqual(refs, {call_id, other})
+            self.assertGreaterEqual(time.monotonic() - broken_at, 0.29)  # both may have run
+            for ref in sorted(refs):
+                again[0].say("up", ref, text="good")
+                self.assertEqual(self.caller.read()["body"], "good")
+
+    def test_a_connection_that_says_nothing_more_is_left(self) -> None:
+        server = self.log_servers[0]
+        self.set_up("00000000000000d1")
+        for _ in range(3):
+            server.say("gauge", "", load="x0:1000;x1:1000")
+            self.assertTrue(self.caller.silent(0.1))
+        self.caller.invite("00000000000000d2", dest=0)
+        server.read()
+        mute_at = time.monotonic()
+        self.assertRaises(EOFError, server.read)
+        self.assertLess(time.monotonic() - mute_at, 1.5)
+        server.accept()
+        server.say("down", "00000000000000d1", cause=16)  # a release that was missed comes on the next one
+        self.assertEqual(self.caller.read()["call-id"], "00000000000000d1")
+
+    def test_more_than_is_due_harms_nothing(self) -> None:
+        server = self.log_servers[0]
+        self.caller.invite("00000000000000d3")
+        server.read()
+        server.say("up", "00000000000000ff", text="nobody's")
+        self.assertEqual(server.read()["c"], 16)
+        for _ in range(2):
+            server.say("up", "00000000000000d3", text="good")
+        self.assertEqual(self.caller.read()["body"], "good")
+        self.assertTrue(self.caller.silent() and server.silent())
+        self.set_up("00000000000000d4")
+
     def test_a_head_split_anywhere_is_read(self) -> None:
         text = (b"INVITE sip:1f@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: split\r\nCSeq: 1 INVITE\r\n"
                 b"P-Kind: log-lookup\r\nP-Time-Left: 3000\r\nContent-Length: 3\r\n\r\nabc")  # fmt: skip
@@ -301,7 +350,7 @@
         self.addCleanup(sock.close)
         link.stream, link.heard_at = IOStream(sock), self.clock.now
         caller, idle = self.offer(), self.offer("b")
-        self.calls.stood(link.open["a"], "text")
+        self.calls.stood(link.open.pop("a"), "text")
         self.clock.now += 7500 * MS
         side.watch()
         self.assertEqual(caller.releases, [])
