Let the module's spans follow the aims, and forget log servers that are gone

A probe that printed what each refused call found also showed this gateway's part at 0.13 where 0.33 is due: Controller._review summed the lines in use of servers long gone, whose views were never dropped. At fault: logic.PASS_OVER, CYCLE, REVIEW_EVERY, BUCKET_SPAN, TICK as fixed spans; _server_list kept GONE views.

--- a/quincestand/logic.py
+++ b/quincestand/logic.py
@@ -23,6 +23,9 @@
 # --- constants --------------------------------------------------------------------------------------
 
 MS, SECOND = 1_000, 1_000_000
+# The spans that `Pace` names suit aims from here on. Where callers want more haste all else is quicker too: a
+# server passed over for longer than a caller waits is lost to it, and fewer are left for the others.
+AIM_SUITED = 1500 * MS
 CYCLE = 2 * SECOND  # least measuring span: long enough for a handful of set-ups, short against a trouble
 PART_LEAST = 0.2  # of an even part: a gateway with no call for seconds may still send its next one
 CYCLE_MOST = 8 * SECOND  # a thin cycle stays open for more answers up to this: about one call's length,
@@ -48,6 +51,7 @@
 FLOW_MEMORY = 2 * SECOND  # memory of a server's flow
 VANISHED_PART = 0.1  # more calls gone at once than ends and chance explain: the server restarted
 PASS_OVER = 500 * MS  # a server answering full or slowly is passed over for this
+FULL_LEAST = 200 * MS  # but never shorter than this for one that says that it is full
 PASS_OVER_MOST = 4 * SECOND  # or for the usual time between two set-ups to it, at most this
 SILENT_TIMEOUTS = 2  # lost attempts in a row, without any answer, that make a server silent
 FAULTS_IN_ROW = 3  # faults in a row after which a server is passed over: one alone is chance
@@ -71,6 +75,18 @@
 LOG_EVERY = 5 * SECOND  # a log line about one server at most this often
 
 
+class Pace:
+    """The spans that are shorter where the tightest aim is."""
+
+    def __init__(self, aim: int = AIM_SUITED) -> None:
+        part = min(1.0, aim / AIM_SUITED)
+        self.cycle, self.cycle_most = int(CYCLE * part), int(CYCLE_MOST * part)
+        self.bucket, self.review = int(BUCKET_SPAN * part), int(REVIEW_EVERY * part)
+        self.tick = int(TICK * part)
+        self.pass_over, self.pass_over_most = int(PASS_OVER * part), int(PASS_OVER_MOST * part)
+        self.full = max(self.pass_over, FULL_LEAST)
+
+
 class Indicator:
     """A figure of one server with hysteresis: Warning past L1, Critical past L2, Normal below LR."""
 
@@ -95,15 +111,15 @@
 
     Below a whole set-up chance decides: hundreds of thin full ones would let go seconds of work at once."""
 
-    def __init__(self, chance: random.Random) -> None:
-        self.at, self.level, self.chance = 0, 0.0, chance
+    def __init__(self, chance: random.Random, span: int = BUCKET_SPAN) -> None:
+        self.at, self.level, self.chance, self.span = 0, 0.0, chance, span
         self.rate: float | None = None
 
     def take(self, now: int, reserve: float, forced: bool) -> bool:
         """Whether a set-up may go; `reserve` must stay behind."""
         if self.rate is None:
             return True
-        depth = self.rate * BUCKET_SPAN / SECOND
+        depth = self.rate * self.span / SECOND
         self.level = min(depth, self.level + self.rate * (now - self.at) / SECOND)
         self.at = now
         free = self.level - reserve * depth
@@ -117,13 +133,17 @@
 class ServerView:
     """What this gateway knows of one core server. Rates are set-ups a second."""
 
-    def __init__(self, entry: ServerEntry, now: int, limits: tuple[int, ...], chance: random.Random) -> None:
-        self.entry, (l1, l2, lr) = entry, limits
+    def __init__(
+        self, entry: ServerEntry, now: int, limits: tuple[int, ...], chance: random.Random,
+        pace: Pace = Pace(),
+    ) -> None:  # fmt: skip
+        self.entry, (l1, l2, lr), self.pace = entry, limits, pace
         self.delay_state, self.loss_state = Indicator(l1, l2, lr), Indicator(L1_LOSS, L2_LOSS, LR_LOSS)
         self.l1, self.clean_limit = l1, l2
         self.state = self.returns = 0
         self.capped = False  # by its state; `bucket` also guards the last free lines
-        self.bucket, self.spare = LeakyBucket(chance), LeakyBucket(chance)  # for all set-ups; for overflow
+        self.bucket = LeakyBucket(chance, pace.bucket)  # for all set-ups
+        self.spare = LeakyBucket(chance, pace.bucket)  # for overflow
         self.cut = 0.0  # X%: part of the offered set-ups above the target
         self.clean_share = 1.0  # of the set-ups that stood
         self.offered_rate = self.clean_rate = 0.0  # first set-ups and clean answers here, last cycle
@@ -192,7 +212,8 @@
         ages = [age for sent in self.out.values() if (age := now - sent) > self.l1 and real]
         ended = len(self.delays) + len(ages) + self.lost
         span = now - self.cycle_at
-        if span < CYCLE or (ended < MIN_JUDGED and span < CYCLE_MOST * (1 + 3 * self.capped)):
+        most = self.pace.cycle_most * (1 + 3 * self.capped)
+        if span < self.pace.cycle or (ended < MIN_JUDGED and span < most):
             return
         delays = sorted(self.delays + ages)
         loss = self.lost / ended if ended else 0.0
@@ -216,7 +237,7 @@
         rate = None
         if self.capped:
             target = part * self.takes(now) if self.can_take >= 0 or self.flow else GROWTH * self.clean_rate
-            target = max(target, part * FLOOR_PART * self.capacity or SECOND / CYCLE)
+            target = max(target, part * FLOOR_PART * self.capacity or SECOND / self.pace.cycle)
             self.cut = (self.offered_rate - target) / self.offered_rate if self.offered_rate else 0.0
             rate = target if self.cut <= 0 else self.offered_rate * (1.0 - self.cut)
         free = self.free or 0.0
@@ -260,6 +281,7 @@
         self.timers: dict[int, tuple[Callable[[int, Any], None], CallId | ServerId]] = {}
         self.actions: list[Action] = []
         aim = min(kind.aim for kind in settings.classes)
+        self.pace = Pace(aim)
         self.l1, self.l2, lr = (int(aim * part) for part in (L1_OF_AIM, L2_OF_AIM, LR_OF_AIM))
         self.limits = self.l1, self.l2, lr
         self.urgent_worth = 2 * min(kind.worth for kind in settings.classes)
@@ -268,6 +290,7 @@
         self.probe_gap = max(PROBE_EVERY, PROBES_APART * settings.group_size)
         self.part = 1.0 / settings.group_size  # this gateway's part of all calls
         self.demand = self.standing = 0.0  # calls a second offered here, without redials; calls of all
+        self.demand_seen = 0.0  # part of SHARE_SPAN that demand has been counted for
         self.group_rate, self.group_at = [0.0] * len(settings.groups), [0] * len(settings.groups)
         self.handlers: dict[type, Any] = {
             ServerList: self._server_list, ServerReport: self._report, CallOffered: self._offered,
@@ -286,7 +309,7 @@
         if not self.started:
             self.started = True
             # Gateways that start together must not judge, cut and let go in step.
-            self.review_at, self.demand_at = now + self.random.randrange(REVIEW_EVERY), now
+            self.review_at, self.demand_at = now + self.random.randrange(self.pace.review), now
             self.actions += [WatchList()] if self.settings.list_on_request else []
         if now != self.stall_end:
             self.stall = 0
@@ -303,14 +326,15 @@
     def _review(self, now: int) -> None:
         """Set this gateway's part and the caps anew."""
         span = now - self.demand_at
-        self.review_at, self.demand_at = now + REVIEW_EVERY, now
+        self.review_at, self.demand_at = now + self.pace.review, now
         self.demand *= max(0.0, 1.0 - span / SHARE_SPAN)
+        self.demand_seen = 1.0
         standing = sum(view.in_use for view in self.servers.values())
         # Where servers fail, fewer calls stand though as many are offered: the most of late tells.
         self.standing = max(standing, self.standing * (1.0 - span / STANDING_MEMORY))
         if self.settings.own_number is None and self.standing > 0:
             # Calls standing are what all gateways had set up in one call's length (Little's law).
-            part = self.demand * self.hold / SECOND / self.standing
+            part = self.demand / self.demand_seen * self.hold / SECOND / self.standing
             self.part = min(1.0, max(part, PART_LEAST / self.settings.group_size))
         cut = [view for view in self.servers.values() if view.cut_at and now - view.cut_at >= TICK]
         if any(view.standing for view in cut):  # part of the calls: lines were lost, no processor started
@@ -345,15 +369,19 @@
             self._timer(SECOND, lambda *_: self.actions.append(WatchList()), 0)
         for entry in event.entries:
             if (view := self.servers.get(entry.server)) is None:
-                view = ServerView(replace(entry, boot_time=0), now, self.limits, self.random)
+                view = ServerView(replace(entry, boot_time=0), now, self.limits, self.random, self.pace)
                 self.servers[entry.server] = view
             before, view.entry = view.entry, entry
             if entry.boot_time != before.boot_time:  # taken as coldest for the whole allowed time
                 self._start_cold(view, now, entry.boot_time)
         named = [entry.server for entry in event.entries]
-        for server, view in self.servers.items():
+        for server, view in list(self.servers.items()):
             if event.kind is ListKind.FULL and server not in named:
                 view.entry = replace(view.entry, state=ServerState.GONE)
+            if view.entry.state is ServerState.GONE:  # an id that is gone does not come back as it was:
+                view.in_use = 0.0  # its lines are not in use, and its view goes with its last call
+                if not view.out and not view.standing:
+                    del self.servers[server]
 
     def _start_cold(self, view: ServerView, now: int, since: int) -> None:
         """Take it as coldest for the whole allowed time; gateways hear of it at once, so spread the first."""
@@ -403,8 +431,8 @@
     def _pass_over(self, view: ServerView, now: int) -> None:
         """Leave out the next set-up at least; a thin gateway would not notice a shorter time."""
         usual = self.part * view.capacity
-        gap = min(SECOND / usual, PASS_OVER_MOST) * (0.5 + self.random.random()) if usual else 0.0
-        view.pass_until = max(view.pass_until, now + max(PASS_OVER, int(gap)))
+        gap = min(SECOND / usual, self.pace.pass_over_most) * (0.5 + self.random.random()) if usual else 0.0
+        view.pass_until = max(view.pass_until, now + max(self.pace.pass_over, int(gap)))
 
     def _heard(self, view: ServerView, now: int) -> None:
         if view.silent:  # it may have come back cold; the list will tell late
@@ -428,7 +456,7 @@
         view.clean_share *= 1.0 - CLEAN_MEMORY
         view.last_delay = max(view.last_delay, waited)
         self._pass_over(view, now)
-        view.full_until = now + PASS_OVER
+        view.full_until = now + self.pace.pass_over
         if now - view.answered_at < SILENT_AFTER and not down:
             return  # slow rather than silent
         if (down or view.lost_in_row >= SILENT_TIMEOUTS) and not view.silent and self.settings.may_probe:
@@ -505,8 +533,8 @@
 
     def _keep_ticking(self, now: int) -> None:
         """Tick while any call is open: for held calls, and to notice that this gateway stood still."""
-        first = min((call.hold_until for call in self.held.values()), default=now + TICK)
-        due = now + max(1, min(TICK, first - now))
+        first = min((call.hold_until for call in self.held.values()), default=now + self.pace.tick)
+        due = now + max(1, min(self.pace.tick, first - now))
         if self.calls and (self.tick_at is None or due < self.tick_at):
             self.tick_at = due
             self._timer(due - now, self._tick, 0)
@@ -652,7 +680,7 @@
                 view.standing.discard(event.call)
                 if event.outcome is Outcome.RESET:  # held back until it is known how many were cut
                     view.cut_at = view.cut_at or now
-                    view.pass_until = view.full_until = now + REVIEW_EVERY
+                    view.pass_until = view.full_until = now + self.pace.review
         waiting = self._answer(now, event.call, event.server)
         if waiting is not None:
             self._measure(now, waiting, event)
@@ -685,7 +713,7 @@
                 view.last_delay = max(view.last_delay, self.settings.classes[0].deadline)
                 view.clean_share *= 1.0 - CLEAN_MEMORY
                 self._pass_over(view, now)
-            view.full_until = now + PASS_OVER  # without a free line: its bucket tells how much later
+            view.full_until = now + self.pace.full  # without a free line: its bucket tells how much later
             view.pass_until = max(view.pass_until, view.full_until)
         elif event.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED, Outcome.CONNECT_FAILED):
             down = event.outcome is Outcome.CONNECT_FAILED
@@ -696,7 +724,7 @@
             self._heard(view, now)
             view.faults_in_row += 1
             if (past := view.faults_in_row - FAULTS_IN_ROW) >= 0:
-                view.pass_until = view.full_until = now + PASS_OVER * 2 ** min(past, 3)
+                view.pass_until = view.full_until = now + self.pace.pass_over * 2 ** min(past, 3)
 
     def _gone(self, now: int, event: CallerGone) -> None:
         self.calls.pop(event.call, None)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,11 +5,13 @@
 import random
 from dataclasses import replace
 
-from conftest import MS, SECOND, SETTINGS, URGENT, Gateway
-from quincestand import CallerGone, CallerGroup, Outcome, Refuse, Send, ServerEntry, ServerReport, ServerState
+from conftest import MS, NORMAL, SECOND, SETTINGS, URGENT, Gateway
+from quincestand import (
+    CallerGone, CallerGroup, ListKind, Outcome, Refuse, Send, ServerEntry, ServerReport, ServerState,
+)  # fmt: skip
 from quincestand.logic import (
-    BUCKET_SPAN, CYCLE, CYCLE_MOST, GROWTH, HOLD_OF_AIM, K_CROSSINGS, M_RETURNS, PASS_OVER, Indicator,
-    LeakyBucket, ServerView,
+    BUCKET_SPAN, CYCLE, CYCLE_MOST, GROWTH, HOLD_OF_AIM, K_CROSSINGS, M_RETURNS, Indicator, LeakyBucket,
+    Pace, ServerView,
 )  # fmt: skip
 
 L1, L2, LR = 500 * MS, 1000 * MS, 300 * MS
@@ -137,12 +139,51 @@
     assert gateway.of(Send)[0].server == "a"
 
 
+def slow_answer(aim: int) -> Gateway:
+    """A gateway of this aim just after an answer slower than L1 of its one server."""
+    gateway = Gateway(replace(SETTINGS, classes=(replace(NORMAL, aim=aim, worth=8.0),)), servers=("a",))
+    gateway.offer()
+    gateway.stands("a", delay=aim // 2)
+    return gateway
+
+
+def test_spans_follow_the_aims():
+    for aim in (300 * MS, 3000 * MS):
+        gateway = slow_answer(aim)
+        usual = 500 * MS * min(1.0, aim / (1500 * MS))
+        assert gateway.controller.servers["a"].pass_until == gateway.now + usual
+    assert Pace(300 * MS).full == 200 * MS  # one that is full has its pause all the same
+    assert (Pace(1500 * MS).cycle, Pace(9 * SECOND).cycle, Pace(300 * MS).cycle) == (CYCLE, CYCLE, CYCLE // 5)
+
+
+def test_lines_of_servers_that_are_gone_do_not_count_as_in_use():
+    gateway = Gateway()
+    for name in "abcdefgh":
+        gateway.list(gateway.entry(name, 0))
+        for free in (1000, 900):
+            gateway.passes(SECOND)
+            gateway.handle(ServerReport(name, True, False, (float(free), 1000.0)))
+    standing = sum(view.in_use for view in gateway.controller.servers.values())
+    assert (standing, list(gateway.controller.servers)) == (100.0, ["h"])
+
+
+def test_a_server_that_is_gone_is_forgotten_after_its_last_call(gateway):
+    gateway.offer(dest=0)
+    gateway.stands("a")
+    gone = [gateway.entry("a", 0, ServerState.GONE)]
+    gateway.list(*gone, kind=ListKind.CHANGES)
+    assert "a" in gateway.controller.servers
+    gateway.ended("a", Outcome.RESET, closed=True)
+    gateway.list(gateway.entry("b", 1), kind=ListKind.CHANGES)
+    assert list(gateway.controller.servers) == ["b"]
+
+
 def test_full_processor_is_passed_over_for_a_moment(gateway):
     gateway.offer(dest=0)
     gateway.ended("a", Outcome.FULL, full=True)
     assert gateway.of(Send)[0].server == "b"
     gateway.stands("b", attempt=1)
-    gateway.passes(PASS_OVER - 1)
+    gateway.passes(Pace(URGENT.aim).full - 1)
     gateway.offer(dest=0)
     assert gateway.of(Send)[0].server == "b"
     gateway.stands("b")
