Owe bad callers a refusal or a close in time, and spare others their floods

At fault: handle_stream (no limit of time, newcomers closed at the cap, no turn for others while data is there), _invite (silence for taken ids; the description never compared; figures unchecked), _reply_bad before a plain close with bytes unread. Ruled out: cancelled ids and bad lengths were answered already.

--- a/mallowquay/config.py
+++ b/mallowquay/config.py
@@ -22,7 +22,7 @@
 END_MARGIN = timedelta(milliseconds=60)  # the module's last word comes so long before the caller gives up,
 # beyond its own margin: the event loop may lag
 GUARD_MARGIN = timedelta(milliseconds=10)  # and the guard of the core speaks so long before that end
-SOCKETS_KEPT = 96  # descriptors kept for log servers, the coordinator and the program itself
+SOCKETS_KEPT = 64  # descriptors kept for log servers, the coordinator and the program itself
 DEFAULT_SOCKETS = 1024
 
 
@@ -37,6 +37,8 @@
     index: int
     name: str
     deadline: timedelta
+    width: int = 1  # lines that a call of it may ask for
+    destinations: frozenset[int] | None = None  # numbers that log servers have; None = any
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,10 +153,17 @@
     if sockets <= SOCKETS_KEPT:
         raise ConfigError(f"limits.sockets must be above {SOCKETS_KEPT}")
     services = settings["services"]
+    pools = [kind.pools for kind in module.classes if kind.pools is not None]
+    numbers = frozenset().union(*pools) if len(pools) == len(module.classes) else None
+    extra = want(settings, "extra", dict, "settings.")
+    widths = want(extra, "circuitsByClass", list, "settings.extra.") if "circuitsByClass" in extra else []
     classes = {}
     for index, kind in enumerate(module.classes):
         name = want(services[index], "name", str, f"settings.services.{index}.")
-        classes[name] = ClassConfig(index, name, kind.deadline * MICROSECOND)
+        width = widths[index] if index < len(widths) else 1
+        if not isinstance(width, int) or width < 1:
+            raise ConfigError(f"settings.extra.circuitsByClass holds no width: {width!r}")
+        classes[name] = ClassConfig(index, name, kind.deadline * MICROSECOND, width, numbers)
     limits = want(settings, "limits", dict, "settings.")
     return Config(
         settings=module,
--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -139,11 +139,18 @@
 
     def caller_left(self, request_id: str) -> bool:
         """The caller gives the set-up up; True if the call had no final answer yet."""
+        return self._give_up(request_id, Verdict.CANCELLED)
+
+    def refuse(self, request_id: str) -> bool:
+        """The front can't let the call go on: it is answered as bad; True if it had no final answer yet."""
+        return self._give_up(request_id, Verdict.BAD)
+
+    def _give_up(self, request_id: str, verdict: Verdict) -> bool:
         call = self._calls.get(request_id)
         if call is None or call.state in (CallState.STANDING, CallState.OVER):
             return False
         attempt = call.attempt
-        self._finish(call, FinalAnswer(Verdict.CANCELLED))
+        self._finish(call, FinalAnswer(verdict))
         self._do(lambda: self._decisions.report(CallerLeft(request_id)))
         if attempt is not None:
             self._side.withdraw(attempt)
--- a/mallowquay/core/model.py
+++ b/mallowquay/core/model.py
@@ -96,6 +96,7 @@
     REFUSED = "refused"  # trying again is harmless
     FAILED = "failed"  # given up after an attempt that may have run
     CANCELLED = "cancelled"  # the caller gave up; no more than a receipt
+    BAD = "bad"  # what the caller sent contradicts itself
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 import logging
 from collections.abc import Callable
 from datetime import timedelta
 
+from tornado.ioloop import PeriodicCallback
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
@@ -13,32 +16,53 @@
 from ..core.calls import Call, Calls, CallState
 from ..core.model import Clock, Ending, FinalAnswer, Request, Verdict
 from .recent import Recent
+from .seldom import Seldom
 from .sip.message import (
     BadMessage,
     Header,
     Message,
     copied_headers,
-    destination_of,
     parse,
     q850_cause,
+    read_path,
     user_of,
     write_request,
     write_response,
 )
 from .statuses import NORMAL_CLEARING, platform_status, release_cause
-from .streams import WRITE_BUFFER_MOST, MessageBuffer, TooLong, fill, gathered_write, quiet
+from .streams import (
+    MESSAGE_MOST,
+    WRITE_BUFFER_MOST,
+    MessageBuffer,
+    TooLong,
+    close_gently,
+    fill,
+    gathered_write,
+    quiet,
+)
 
 log = logging.getLogger(__name__)
 
 MILLISECOND = timedelta(milliseconds=1)
+# A connection that has brought no whole message, or half of one, by then is closed: 3 s are allowed.
+MESSAGE_WITHIN = timedelta(milliseconds=2200)
+WATCH_EVERY = timedelta(milliseconds=200)
+BAD_MOST = 16  # bad messages on one connection, then it is closed
+ID_LENGTH = 16
+HEX = frozenset("0123456789abcdefABCDEF")
+DESCRIPTION_MOST = MESSAGE_MOST - 512  # as it goes on to a log server, escaped, with room for the rest
 
 
 class Connection:
     """One connection from callers."""
 
-    def __init__(self, stream: IOStream) -> None:
+    def __init__(self, stream: IOStream, now: timedelta) -> None:
         self.stream, self.buffer = stream, MessageBuffer()
         self.unanswered: set[str] = set()  # set-ups whose answer is due here and nowhere else
+        self.waiting_since: timedelta | None = now  # for the rest of a message; None between messages
+        self.spoke = False  # a whole message has come
+        self.bad = 0
+        self.closing = False  # what still comes is not for us
 
     def write(self, parts: list[bytes]) -> bool:
         """Send a message; False if the connection is gone."""
@@ -55,6 +79,8 @@
 
     def answer(self, call: Call, answer: FinalAnswer) -> None:
         """Write the final answer on the connection of the set-up."""
+        if call.request.id in self.connection.unanswered and not self.connection.stream.closed():
+            self.front.answered.add(call.request.id)
         self.connection.unanswered.discard(call.request.id)
         extra: list[Header] = []
         if answer.verdict is Verdict.STANDS:
@@ -81,9 +107,13 @@
         super().__init__(max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
         self._calls, self._clock, self._classes = calls, clock, classes
         self._margin, self._most = end_margin, most
-        self._connections: dict[Connection, None] = {}
+        self._connections: dict[Connection, None] = {}  # the one heard of last at the end
+        self._warn_bad, self._warn_most = Seldom(log, clock), Seldom(log, clock)
+        self._watch = PeriodicCallback(self.watch, WATCH_EVERY)
+        self._watch.start()
         self._unsent: dict[str, list[bytes]] = {}  # releases that found no open connection
         self.over = Recent(4096)  # calls that are over
+        self.answered = Recent(4096)  # ids that have had their final answer: they do not come again
         # A release of a call that this process never took.
         self.stray_release: Callable[[str, int], None] = lambda call_id, cause: None
         self.stopping = False
@@ -95,11 +125,11 @@
 
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Serve one connection until it closes."""
-        if len(self._connections) >= self._most:
-            log.warning("refused a connection beyond %d", self._most)
+        if len(self._connections) >= self._most and not self._make_room():
+            self._warn_most.warning("refused a connection beyond %d", self._most)
             stream.close()
             return
-        connection = Connection(quiet(stream))
+        connection = Connection(quiet(stream), self._clock())
         stream.max_write_buffer_size = WRITE_BUFFER_MOST
         self._connections[connection] = None
         for call_id in list(self._unsent):
@@ -108,22 +138,47 @@
             while True:
                 await fill(stream, connection.buffer)
                 self._take(connection)
+                await asyncio.sleep(0)  # one that sends without a pause leaves the others their turn
         except StreamClosedError:
             pass
-        except TooLong as fault:
-            self._bad(f"{fault}")
-        except BadMessage as fault:
-            self._bad(f"{fault}")
-            self._reply_bad(connection, fault)
+        except (TooLong, BadMessage) as fault:
+            self._bad(fault)
+            connection.closing = True
+            if isinstance(fault, BadMessage):
+                self._reply_bad(connection, fault)
+            await close_gently(stream)
         finally:
-            del self._connections[connection]
+            self._connections.pop(connection, None)
             stream.close()
             for call_id in list(connection.unanswered):  # nobody is left to answer: no work for nothing
                 self._calls.caller_left(call_id)
 
-    def _bad(self, fault: str) -> None:
+    def _make_room(self) -> bool:
+        """Close what is missed least: a connection that never spoke, else the one longest without a word.
+
+        Whoever has a set-up open keeps its place, and so does whoever speaks.
+        """
+        idle = [known for known in self._connections if not known.unanswered]
+        if not idle:
+            return False
+        least = next((known for known in idle if known.closing or not known.spoke), idle[0])
+        self._warn_most.warning("closed an idle connection: there are %d", len(self._connections))
+        del self._connections[least]  # its place is free at once
+        least.stream.close()
+        return True
+
+    def watch(self) -> None:
+        """Close connections whose next message does not get whole."""
+        now = self._clock()
+        for connection in list(self._connections):
+            since = connection.waiting_since
+            if since is not None and now - since >= MESSAGE_WITHIN and not connection.unanswered:
+                connection.closing = True
+                connection.stream.close()
+
+    def _bad(self, fault: Exception) -> None:
         self.bad_messages += 1
-        log.warning("closed a caller's connection: %s", fault)
+        self._warn_bad.warning("a caller's connection is closed: %s", fault)
 
     def _reply_bad(self, connection: Connection, fault: BadMessage) -> None:
         if fault.message is not None and fault.message.method and fault.message.method != "ACK":
@@ -135,13 +190,24 @@
         while buffer.start < buffer.end:
             message, buffer.start = parse(buffer.data, buffer.start, buffer.end)
             if message is None:
-                return
+                break
+            connection.spoke, connection.waiting_since = True, None
             try:
                 self._message(connection, message)
             except BadMessage as fault:  # whole and well framed, yet wrong: the connection goes on
+                fault.message = message
+                connection.bad += 1
+                if connection.bad >= BAD_MOST:
+                    raise
                 self.bad_messages += 1
-                log.warning("bad message from a caller: %s", fault)
+                self._warn_bad.warning("bad message from a caller: %s", fault)
                 self._reply_bad(connection, fault)
+        if connection.spoke:
+            self._connections[connection] = self._connections.pop(connection)
+            if buffer.start == buffer.end:
+                connection.waiting_since = None
+            elif connection.waiting_since is None:
+                connection.waiting_since = self._clock()
 
     def _message(self, connection: Connection, message: Message) -> None:
         if message.status:  # 200 to our BYE
@@ -150,8 +216,8 @@
         if message.method == "OPTIONS":
             self._reply(connection, message, 503 if self.stopping else 200)
             return
-        if not call_id:
-            raise BadMessage(400, "no Call-ID", message)
+        if len(call_id) != ID_LENGTH or not HEX.issuperset(call_id):
+            raise BadMessage(400, "Call-ID is not 16 hex digits", message)
         match message.method:
             case "INVITE":
                 self._invite(connection, message, call_id)
@@ -168,30 +234,54 @@
         connection.write(write_response(status, copied_headers(message)))
 
     def _invite(self, connection: Connection, message: Message, call_id: str) -> None:
+        request = self._to_request(message, call_id)
+        known = self._calls.get(call_id)
+        if known is None and not self.answered.holds(call_id):
+            # One whose connection closed before its answer may come again, on another connection.
+            connection.unanswered.add(call_id)
+            self._calls.offer(request, PlatformCaller(self, connection, message))
+        elif call_id not in connection.unanswered:  # nor may anybody end or join another's call by its id
+            raise BadMessage(482, "the id is taken", message)
+        elif known is not None and not same_call(known.request, request):
+            # Which of the two is meant cannot be told, and an id has one answer: neither is carried out.
+            log.info("call %s came twice with different contents", call_id)
+            self._calls.refuse(call_id)
+        # else sent again as it was: it will have its answer
+
+    def _to_request(self, message: Message, call_id: str) -> Request:
         kind = self._classes.get(message.get("P-Kind"))
         if kind is None:
-            raise BadMessage(400, f"P-Kind names no class: {message.get('P-Kind')!r}", message)
+            raise BadMessage(400, f"P-Kind names no class: {message.get('P-Kind')[:40]!r}")
         left = message.number("P-Time-Left")
+        budget = kind.deadline if left is None else left * MILLISECOND
+        if budget > 2 * kind.deadline:
+            raise BadMessage(400, f"P-Time-Left is out of range: {left}")
+        number = user_of(message.uri)
+        if not 0 < len(number) <= ID_LENGTH or not HEX.issuperset(number):
+            raise BadMessage(400, "the number called is not hex digits")
+        path = read_path(message.get("P-Path"))
+        destination = path.get("dest", -1)
+        if not 1 <= path.get("width", 1) <= kind.width:
+            raise BadMessage(400, f"P-Path asks for a width of {path['width']}")
+        if destination < -1 or (kind.destinations and destination not in kind.destinations | {-1}):
+            raise BadMessage(400, f"P-Path names no log server: {destination}")
         try:
             description = bytes(message.body).decode()
         except UnicodeDecodeError as fault:
-            raise BadMessage(400, "the description is not UTF-8", message) from fault
-        budget = kind.deadline if left is None else left * MILLISECOND
-        request = Request(
+            raise BadMessage(400, "the description is not UTF-8") from fault
+        if len(json.dumps(description)) > DESCRIPTION_MOST:
+            raise BadMessage(413, "the description does not fit into a message to a log server")
+        return Request(
             id=call_id,
             call_class=kind.index,
             class_name=kind.name,
-            number=user_of(message.uri),
+            number=number,
             budget=max(budget - self._margin, timedelta(0)),
             taken_at=self._clock(),
-            destination=destination_of(message.get("P-Path")),
+            destination=destination,
             redialled=message.get("P-Second-Try") == "1",
             description=description,
         )
-        if self.over.holds(call_id) or self._calls.get(call_id) is not None:
-            return  # sent again: the call has its answer or will have it
-        connection.unanswered.add(call_id)
-        self._calls.offer(request, PlatformCaller(self, connection, message))
 
     def _cancel(self, connection: Connection, message: Message, call_id: str) -> None:
         call = self._calls.get(call_id)
@@ -238,3 +328,8 @@
         while len(self._unsent) >= 1024:
             self._unsent.pop(next(iter(self._unsent)))
         self._unsent[call_id] = parts
+
+
+def same_call(one: Request, other: Request) -> bool:
+    """Whether two set-ups under one id ask for the same."""
+    return all(getattr(one, name) == getattr(other, name) for name in ("number", "call_class", "description"))
--- a/mallowquay/net/sip/front.py
+++ b/mallowquay/net/sip/front.py
@@ -15,8 +15,8 @@
     BadMessage,
     Header,
     Message,
-    destination_of,
     q850_cause,
+    read_path,
     user_of,
 )
 from .servers import QUIET, SipServers
@@ -270,7 +270,7 @@
             number=number,
             budget=max(budget - self._margin, timedelta(0)),
             taken_at=self.clock(),
-            destination=destination_of(invite.get("P-Path")),
+            destination=read_path(invite.get("P-Path")).get("dest", -1),
             redialled=invite.get("P-Second-Try") == "1",
             description=description,
         )
--- a/mallowquay/net/sip/message.py
+++ b/mallowquay/net/sip/message.py
@@ -259,13 +259,13 @@
     return default
 
 
-def destination_of(path: str) -> int:
-    """`dest` of P-Path: the number of the log server of first choice; -1 if it is not told."""
-    for part in path.split(";"):
-        name, _, value = part.strip().partition(":")
-        if name == "dest":
-            try:
-                return int(float(value))
-            except (ValueError, OverflowError):
-                return -1
-    return -1
+def read_path(text: str) -> dict[str, int]:
+    """The figures of P-Path, such as `dest:2;width:1;via:-1`; BadMessage if one is no whole number."""
+    figures = {}
+    for part in text.split(";") if text else []:
+        name, colon, value = part.strip().partition(":")
+        digits = value.removeprefix("-")
+        if not colon or not digits.isascii() or not digits.isdigit() or len(digits) > 5:
+            raise BadMessage(400, f"P-Path holds no figure: {part[:40]!r}")
+        figures[name] = int(value)
+    return figures
--- a/mallowquay/net/statuses.py
+++ b/mallowquay/net/statuses.py
@@ -15,6 +15,8 @@
     (Verdict.FAILED, True): (504, 504),
     (Verdict.CANCELLED, False): (487, 487),
     (Verdict.CANCELLED, True): (487, 487),
+    (Verdict.BAD, False): (400, 400),
+    (Verdict.BAD, True): (400, 400),
 }
 
 # How an attempt ended, by the final response of a SIP log server; any other is a fault.
--- a/mallowquay/net/streams.py
+++ b/mallowquay/net/streams.py
@@ -17,6 +17,7 @@
 log = logging.getLogger(__name__)
 
 MESSAGE_MOST = 16 * 1024
+LINGER, LINGER_BYTES = timedelta(milliseconds=500), 1024 * 1024
 WRITE_BUFFER_MOST = 256 * 1024  # a peer that does not read is dropped past this
 
 
@@ -122,6 +123,27 @@
     return quiet(stream)
 
 
+async def close_gently(stream: IOStream) -> None:
+    """Close so that what was written arrives: with bytes unread, a close resets the connection.
+
+    Nothing more is sent, and what still comes is thrown away, until the far end has closed or for a moment.
+    """
+    rest = bytearray(MESSAGE_MOST)
+    try:
+        async with asyncio.timeout(LINGER.total_seconds()):
+            while stream.writing():
+                await asyncio.sleep(LINGER.total_seconds() / 50)
+            stream.socket.shutdown(socket.SHUT_WR)
+            thrown = 0
+            while thrown < LINGER_BYTES:
+                thrown += await stream.read_into(rest, partial=True)
+                await asyncio.sleep(0)
+    except (TimeoutError, OSError, StreamClosedError):
+        pass
+    finally:
+        stream.close()
+
+
 def quiet(stream: IOStream) -> IOStream:
     """Small messages leave at once."""
     stream.set_nodelay(True)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -22,6 +22,7 @@
 
 class PlatformCase(unittest.TestCase):
     servers = 2
+    sockets = 1024
 
     def setUp(self) -> None:
         self.log_servers = [LogServer(number) for number in range(self.servers)]
@@ -32,7 +33,7 @@
                   "servers": [server.entry() for server in self.log_servers]}}  # fmt: skip
         document = self.document = {
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "coordinator": f"127.0.0.1:{self.coordinator.getsockname()[1]}",
             "known": {"index": 1, "updates": [update]}, "settings": SETTINGS,
         }  # fmt: skip
@@ -62,6 +63,9 @@
                              server.number, 1000, started_ms)  # fmt: skip
         self.feed.sendall(FRAME.pack(9 + len(record), self.index, 2) + record)
 
+
+
+class PlatformTest(PlatformCase):
     def test_a_call_stands_and_is_released_by_its_log_server(self) -> None:
         self.caller.invite("00000000000000a1", left=3000)
         sent = self.log_servers[0].read()
@@ -171,12 +175,13 @@
     def set_up_anywhere_but(self, drained: int, call_id: str) -> None:
         # The feed and the caller are two connections: the list may come after the first set-up.
         for attempt in range(50):
-            self.caller.invite(f"{call_id}{attempt}")
+            self.caller.invite(f"{call_id[:-2]}{attempt:02x}")
             there = self.log_servers[1 - drained]
             if there.silent(0.2):
+                self.log_servers[drained].read()
                 continue
             there.read()
-            self.assertTrue(self.log_servers[drained].silent() or attempt == 0)
+            self.assertTrue(self.log_servers[drained].silent())
             return
         self.fail("no set-up went to the other server")
 
@@ -257,10 +262,21 @@
                     pass
             except ConnectionError:
                 pass
-        self.caller.send("INVITE", "bad1", "P-Kind: no-such", "P-Time-Left: 900")
-        self.assertEqual(self.caller.read()[""], "SIP/2.0 400 Bad Request")
-        self.caller.send("INVITE", "bad2", "P-Kind: log-lookup", "P-Time-Left: soon")
+        good, left = "P-Kind: log-lookup", "P-Time-Left: 900"
+        for call_id, *headers in (
+            ("bad1", good, left), ("00000000000000bg", good, left),
+            ("00000000000000b2", "P-Kind: no-such", left),
+            *(("00000000000000b3", good, f"P-Time-Left: {x}") for x in ("soon", "-5", "9999999", "1e3")),
+            *(("00000000000000b4", good, left, f"P-Path: {text}") for text in (
+                "x", "dest:nan;width:1;via:-1", "dest:-3", "dest:99", "dest:0;width:0", "dest:0;width:400")),
+        ):  # fmt: skip
+            self.caller.send("INVITE", call_id, *headers)
+            self.assertEqual(self.caller.read()[""], "SIP/2.0 400 Bad Request", (call_id, headers))
+        self.caller.send("INVITE", "00000000000000b5", good, left, uri="x")
         self.assertEqual(self.caller.read()[""], "SIP/2.0 400 Bad Request")
+        self.caller.send("INVITE", "00000000000000b6", good, left, body="\x01" * 4000)  # 24,000 bytes as JSON
+        self.assertEqual(self.caller.read()[""][8:11], "413")
+        self.assertTrue(all(server.silent() for server in self.log_servers))
         self.set_up("00000000000000ae")
 
     def test_a_connection_with_a_spoilt_answer_is_left_and_its_calls_go_on(self) -> None:
@@ -316,12 +332,13 @@
         self.set_up("00000000000000d4")
 
     def test_a_head_split_anywhere_is_read(self) -> None:
-        text = (b"INVITE sip:1f@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: split\r\nCSeq: 1 INVITE\r\n"
-                b"P-Kind: log-lookup\r\nP-Time-Left: 3000\r\nContent-Length: 3\r\n\r\nabc")  # fmt: skip
+        text = (b"INVITE sip:1f@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 00000000000000e0\r\n"
+                b"CSeq: 1 INVITE\r\nP-Kind: log-lookup\r\nP-Time-Left: 3000\r\n"
+                b"Content-Length: 3\r\n\r\nabc")  # fmt: skip
         for byte in text:
             self.caller.sock.sendall(bytes([byte]))
         sent = [server for server in self.log_servers if not server.silent(0.5)][0].read()
-        self.assertEqual((sent["ref"], sent["d"]), ("split", "abc"))
+        self.assertEqual((sent["ref"], sent["d"]), ("00000000000000e0", "abc"))
 
     def test_sigterm_finishes_what_was_taken_and_goes_on_accepting(self) -> None:
         self.caller.invite("00000000000000af")
@@ -337,6 +354,109 @@
         self.assertEqual(self.program.process.wait(WAIT), 0)
 
 
+class BadCallers(PlatformCase):
+    """What callers that are out of order are owed, and what the others are spared."""
+
+    sockets = 64 + 8
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.addCleanup(lambda: [caller.sock.close() for caller in self.others])
+        self.others: list[Caller] = []
+
+    def other(self, text: bytes = b"") -> Caller:
+        caller = Caller(self.port)
+        self.others.append(caller)
+        caller.sock.sendall(text)
+        return caller
+
+    def ended(self, caller: Caller) -> bool:
+        """Whether the connection is closed, or will be before long."""
+        try:
+            while caller.sock.recv(65536):
+                pass
+        except TimeoutError:
+            return False
+        except ConnectionError:
+            pass
+        return True
+
+    def test_silence_and_half_a_message_are_ended_in_time_and_a_good_connection_lives_on(self) -> None:
+        self.set_up("00000000000000f1")
+        began = time.monotonic()
+        silent, half = self.other(), self.other(b"INVITE sip:1f@net SIP/2.0\r\nCall")
+        slow = self.other()
+        slow.send("OPTIONS", "p")
+        slow.sock.sendall(b"INVITE sip:1f@net SIP/2.0\r\nContent-Length: 100\r\n\r\nhalf")
+        self.assertTrue(self.ended(silent) and self.ended(half) and self.ended(slow))
+        self.assertLess(time.monotonic() - began, 3.0)
+        self.log_servers[0].say("down", "00000000000000f1", cause=16)
+        self.assertEqual(self.caller.read()["call-id"], "00000000000000f1")  # idle for as long, and heard
+        self.assertEqual(self.log_servers[0].read()["t"], "ack")
+        self.set_up("00000000000000f2")
+
+    def test_silent_connections_give_way_to_newcomers_and_good_ones_stay(self) -> None:
+        self.set_up("00000000000000f3")
+        waiting = self.other()
+        waiting.invite("00000000000000f4", dest=1)
+        self.assertEqual(self.log_servers[1].read()["ref"], "00000000000000f4")
+        for _ in range(40):
+            self.other()
+        late = self.other()
+        late.invite("00000000000000f5", dest=1)
+        self.assertEqual(self.log_servers[1].read()["ref"], "00000000000000f5")
+        for call_id in ("00000000000000f4", "00000000000000f5"):
+            self.log_servers[1].say("up", call_id, text="x")
+        self.assertEqual((waiting.read()["body"], late.read()["body"]), ("x", "x"))
+        self.set_up("00000000000000f6")
+
+    def test_an_id_that_is_taken(self) -> None:
+        self.caller.invite("00000000000000f7")
+        self.log_servers[0].read()
+        other = self.other()
+        other.invite("00000000000000f7")
+        self.assertEqual(other.read()[""][8:11], "482")
+        self.caller.invite("00000000000000f7")  # the same again on its own connection: one answer
+        self.log_servers[0].say("up", "00000000000000f7", text="x")
+        self.assertEqual(self.caller.read()["body"], "x")
+        self.assertTrue(self.caller.silent())
+        other.invite("00000000000000f7")  # it stands
+        self.assertEqual(other.read()[""][8:11], "482")
+        other.invite("00000000000000f8")
+        self.log_servers[0].read()
+        other.invite("00000000000000f8", kind="log-update")  # nobody can tell which is meant
+        self.assertEqual(other.read()[""][8:11], "400")
+        self.assertEqual(self.log_servers[0].read()["c"], 16)
+        self.assertTrue(other.silent())
+
+    def test_an_id_whose_connection_closed_unanswered_may_come_again(self) -> None:
+        other = self.other()
+        other.invite("00000000000000f9")
+        self.log_servers[0].read()
+        other.sock.close()
+        self.assertEqual(self.log_servers[0].read()["t"], "down")
+        self.set_up("00000000000000f9")
+
+    def test_who_sends_too_much_can_read_its_refusal(self) -> None:
+        big = self.other(b"INVITE sip:1f@net SIP/2.0\r\nCall-ID: 00000000000000fa\r\nCSeq: 1 INVITE\r\n"
+                         b"Content-Length: 60000000\r\n\r\n")  # fmt: skip
+        for _ in range(50):
+            big.sock.sendall(b"x" * 10_000)
+        self.assertEqual(big.read()[""][8:11], "413")
+        self.assertTrue(self.ended(big))
+
+    def test_one_that_repeats_what_is_bad_is_closed_and_does_not_fill_the_log(self) -> None:
+        flood = self.other()
+        for _ in range(40):
+            try:
+                flood.invite("00000000000000fb", kind="no-such")
+            except ConnectionError:
+                break
+        self.assertTrue(self.ended(flood))
+        self.set_up("00000000000000fc")
+        self.assertLess(self.program.text().count("no-such"), 4)
+
+
 class Silence(CoreCase):
     def test_what_stands_behind_a_silent_link_is_released_in_time(self) -> None:
         asyncio.run(self.silence())
