--- a/quincestand/logic.py
+++ b/quincestand/logic.py
@@ -157,6 +157,7 @@
         self.silent = False
         self.free: float | None = None
         self.lines, self.in_use, self.lines_at = 0.0, 0.0, 0
+        self.told_at, self.told_gap = 0, SECOND  # word of free lines, unasked: when last, and how long apart
         self.flow = 0.0  # set-ups that stood lately, of all gateways; 0 = unknown
         self.turnover = 0.0  # calls that end, so lines that come free
         self.can_take, self.can_take_at = -1.0, 0  # as reported, of all gateways; -1 = never
@@ -241,8 +242,9 @@
             self.cut = (self.offered_rate - target) / self.offered_rate if self.offered_rate else 0.0
             rate = target if self.cut <= 0 else self.offered_rate * (1.0 - self.cut)
         free = self.free or 0.0
-        if self.lines > 0 and free < self.turnover:  # else all gateways would meet at the last free lines
-            rate = min(inf if rate is None else rate, part * (self.turnover + free))
+        until_told = self.told_gap / SECOND  # else all gateways would meet at the last free lines by then
+        if self.lines > 0 and free < self.turnover * until_told:
+            rate = min(inf if rate is None else rate, part * (self.turnover + free / until_told))
         self.bucket.rate = rate
         most = self.takes(now)
         if self.can_take < 0 and self.state == 0 and self.last_delay <= self.l1:
@@ -402,6 +404,9 @@
         view = self.servers.get(event.server)
         if view is not None:
             self._read(now, view, event.report)
+            if not event.asked:
+                view.told_gap = min(SECOND, max(TICK, now - view.told_at)) if view.told_at else SECOND
+                view.told_at = now
             if event.asked and event.ok:
                 self._heard(view, now)
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -178,6 +178,18 @@
     assert list(gateway.controller.servers) == ["b"]
 
 
+def test_the_last_free_lines_are_guarded_until_the_next_word_of_them():
+    for gap, rate in ((1000 * MS, 0.25 * (80 + 50)), (500 * MS, None)):
+        gateway = Gateway(replace(SETTINGS, classes=(replace(NORMAL, mean_hold=SECOND),)))
+        gateway.controller.part = 0.25
+        for _ in range(4):
+            gateway.passes(gap)
+            gateway.handle(ServerReport("a", True, False, (50.0, 130.0)))
+        server = gateway.controller.servers["a"]
+        server.shape(gateway.now, 0.25)
+        assert server.bucket.rate == rate  # 80 lines come free in a second
+
+
 def test_full_processor_is_passed_over_for_a_moment(gateway):
     gateway.offer(dest=0)
     gateway.ended("a", Outcome.FULL, full=True)
