--- a/mallowquay/core/decisions.py
+++ b/mallowquay/core/decisions.py
@@ -179,6 +179,7 @@
     def _event(self, news: News) -> Event | None:
         if isinstance(news, ListTold):
             kind = ListKind.FULL if news.whole else ListKind.CHANGES
+            self._forget_starts(news)
             return ServerList(kind, tuple(self._entry(server) for server in news.servers))
         if isinstance(news, LoadTold):
             return ServerReport(news.server, True, False, self._figures(news.load))
@@ -208,9 +209,17 @@
         # The same start must give the same figure each time, or the module would see a new start.
         key = (server.id, server.started)
         started = 0 if server.started is None else server.started // MICROSECOND or 1
-        started = self._started.setdefault(key, started)
+        if server.status is not ServerStatus.GONE:
+            started = self._started.setdefault(key, started)
         return ServerEntry(server.id, server.number, STATES[server.status], started)
 
+    def _forget_starts(self, told: ListTold) -> None:
+        """Ids are always new over a long day: those that are gone are not kept."""
+        gone = {server.id for server in told.servers if server.status is ServerStatus.GONE}
+        named = {server.id for server in told.servers}
+        for key in [key for key in self._started if key[0] in gone or (told.whole and key[0] not in named)]:
+            del self._started[key]
+
     def _figures(self, load: Load) -> tuple[float, ...]:
         return tuple(load.get(name, -1.0) for name in self._settings.report_fields) if load else ()
 
--- a/quincestand/logic.py
+++ b/quincestand/logic.py
@@ -54,6 +54,7 @@
 FULL_LEAST = 200 * MS  # but never shorter than this for one that says that it is full
 PASS_OVER_MOST = 4 * SECOND  # or for the usual time between two set-ups to it, at most this
 SILENT_TIMEOUTS = 2  # lost attempts in a row, without any answer, that make a server silent
+ERRORS_MOST = 2  # a call answered so often with an error is one that no server can use
 FAULTS_IN_ROW = 3  # faults in a row after which a server is passed over: one alone is chance
 NUMBER_GAP = 2 * SECOND  # a number with all lines busy is left alone for this
 SILENT_AFTER = 4 * SECOND  # no answer for longer than any queue lasts: silent rather than slow
@@ -153,6 +154,7 @@
         self.full_until = 0  # passed over by all calls: it answered full or not at all
         self.cold_since = self.cold_until = self.cold_next = 0  # next: no set-up sooner while cold
         self.cut_at = 0  # a standing call was cut; 0 = judged, or none
+        self.reset_at = -TICK
         self.last_delay = self.answered_at = self.lost_in_row = self.faults_in_row = 0
         self.silent = False
         self.free: float | None = None
@@ -261,7 +263,7 @@
         self.event = event
         self.offered_at, self.rank = now, (cut_first, not urgent, now)  # rank: the worthiest first
         self.gives_up = now + event.budget - END_MARGIN
-        self.attempts = self.hold_until = 0
+        self.attempts = self.hold_until = self.errors = 0
         self.server: ServerId | None = None  # where its attempt is out
         self.ready_at = now  # not sent before: the release wait
         self.tried: list[ServerId] = []
@@ -698,6 +700,7 @@
         if call.server != event.server or event.attempt != call.attempts - 1:
             return
         call.server = None
+        call.errors += event.outcome is Outcome.ERROR
         if event.outcome not in (Outcome.ERROR, Outcome.RESET):
             call.tried.append(event.server)
         if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
@@ -708,7 +711,8 @@
         if event.number_busy:  # no server can help; one crowded number must not take their work
             self.busy.pop(call.event.called, None)
             self.busy[call.event.called] = now + NUMBER_GAP
-        (self._finish if event.number_busy or once else partial(self._place, now))(call)
+        over = event.number_busy or once or call.errors >= ERRORS_MOST
+        (self._finish if over else partial(self._place, now))(call)
 
     def _measure(self, now: int, view: ServerView, event: AttemptEnded) -> None:
         if event.outcome is Outcome.FULL:
@@ -727,6 +731,9 @@
             # Quick faults are no overload, and most of a flaky server's set-ups succeed: it is passed over
             # only after several in a row, ever longer, as one that always fails is quick and draws calls.
             self._heard(view, now)
+            if event.outcome is Outcome.RESET and now - view.reset_at < TICK:
+                return  # one broken connection ends all that was open on it: that is one fault
+            view.reset_at = now if event.outcome is Outcome.RESET else view.reset_at
             view.faults_in_row += 1
             if (past := view.faults_in_row - FAULTS_IN_ROW) >= 0:
                 view.pass_until = view.full_until = now + self.pace.pass_over * 2 ** min(past, 3)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -106,6 +106,15 @@
                          {Ending.CONNECTION_REFUSED, Ending.CONNECTION_FAILED,
                           Ending.CONNECTION_SILENT})  # fmt: skip
 
+    def test_starts_of_servers_that_are_gone_are_not_kept(self) -> None:
+        decisions = self.decisions
+        for number in range(50):
+            for status in (ServerStatus.READY, ServerStatus.GONE):
+                server = Server(f"n{number}", ("127.0.0.1", 1), 0, status, number * MS)
+                decisions.report(ListTold((server,), whole=False))
+        decisions.report(ListTold((Server("z", ("127.0.0.1", 1), 0, ServerStatus.READY),), whole=True))
+        self.assertEqual([server for server, _ in decisions._started], ["z"])
+
     def test_pick_names_a_server_and_report_the_next_one(self) -> None:
         picked = self.decisions.pick(self.request())
         assert isinstance(picked, Dispatch)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -7,7 +7,7 @@
 
 from conftest import MS, NORMAL, SECOND, SETTINGS, URGENT, Gateway
 from quincestand import (
-    CallerGone, CallerGroup, ListKind, Outcome, Refuse, Send, ServerEntry, ServerReport, ServerState,
+    CallerGone, CallerGroup, Fail, ListKind, Outcome, Refuse, Send, ServerEntry, ServerReport, ServerState,
 )  # fmt: skip
 from quincestand.logic import (
     BUCKET_SPAN, CYCLE, CYCLE_MOST, GROWTH, HOLD_OF_AIM, K_CROSSINGS, M_RETURNS, Indicator, LeakyBucket,
@@ -281,6 +281,31 @@
     assert gateway.of(Send)[0].server == "b"
 
 
+def test_a_call_that_no_server_can_use_is_given_up_after_the_second_error(gateway):
+    gateway.offer(dest=0)
+    gateway.ended("a", Outcome.ERROR)
+    again = gateway.of(Send)[0].server
+    gateway.ended(again, Outcome.ERROR, attempt=1)
+    assert gateway.of(Fail) and not gateway.of(Send)
+
+
+def test_one_broken_connection_is_one_fault_however_much_was_open_on_it(gateway):
+    view = gateway.controller.servers["a"]
+    calls = []
+    for number in range(6):
+        view.capacity = 1000.0
+        gateway.offer(dest=0)
+        calls.append(gateway.next_call)
+    for call in calls:
+        gateway.ended("a", Outcome.RESET, call=call)
+    assert view.faults_in_row == 1 and view.pass_until == 0
+    for _ in range(2):
+        gateway.passes(SECOND)
+        gateway.offer(dest=0)
+        gateway.ended("a", Outcome.RESET)
+    assert view.faults_in_row == 3 and view.pass_until > gateway.now
+
+
 def test_same_events_same_actions():
     def day() -> list:
         gateway = Gateway(servers=("a", "b", "c"))
