Count calls shorter than the gap between words of free lines, and miss a word sooner

The probe of refused calls showed a flow of 109 a second where 300 stood: ServerView.note_lines took what stood at the end of a span for all that was set up in it, so caps of recovered servers stayed at a third of what they take, and shape looked 0.5 s ahead where lines turn over in 0.22 s. A mute connection was found after 0.8 s of silence; by then its unanswered set-ups had made a healthy server Critical. At fault: note_lines, shape, Link._mute_after.

--- a/mallowquay/net/platform_servers.py
+++ b/mallowquay/net/platform_servers.py
@@ -39,8 +39,9 @@
 # be read.
 LINE_WITHIN = timedelta(milliseconds=200)
 # Free lines are told at even gaps. A connection that misses them is of no further use, though it stays open.
-MUTE_GAPS = 1.6
-MUTE_LEAST, MUTE_UNKNOWN = timedelta(milliseconds=600), timedelta(seconds=3)
+LATE_WORD = 0.3  # a word of free lines is missed when it is late by this part of the usual gap,
+LATE_LEAST = timedelta(milliseconds=150)  # or by this, and nothing else has come for as long
+GAP_UNKNOWN = timedelta(seconds=2)
 GAP_MEMORY = 0.1
 RESTED = timedelta(milliseconds=100)  # one that broke sooner after it came up is opened anew after this pause
 
@@ -212,11 +213,10 @@
         """Leave a connection that is of no further use, and release what cannot be told any more."""
         now = self.side.clock()
         if self.stream is not None:
-            quiet = now - max(self.heard_at, self.opened_at)
             if self.line_since is not None and now - self.line_since >= LINE_WITHIN:
                 log.warning("log server %s: a line is not whole after %s", self.server.id, LINE_WITHIN)
                 self._broken(self.stream, Ending.UNREADABLE)
-            elif quiet < self._mute_after():
+            elif not self._missed_word(now):
                 self.looks_mute = False
             elif not self.looks_mute:
                 self.looks_mute = True  # looked at twice: this process may have stood still, with all unread
@@ -225,8 +225,11 @@
         if now - self.heard_at >= SILENT_MOST:
             self.side.cut_standing(self.server.id, Ending.CONNECTION_SILENT)
 
-    def _mute_after(self) -> timedelta:
-        return MUTE_UNKNOWN if self.told_gap is None else max(MUTE_LEAST, self.told_gap * MUTE_GAPS)
+    def _missed_word(self, now: timedelta) -> bool:
+        gap = self.told_gap or GAP_UNKNOWN
+        late = max(gap * LATE_WORD, LATE_LEAST)
+        told_at = self.opened_at if self.told_at is None else self.told_at
+        return now - told_at >= gap + late and now - max(self.heard_at, self.opened_at) >= late
 
     def close(self) -> None:
         """Close the connection of a server that is gone."""
--- a/quincestand/logic.py
+++ b/quincestand/logic.py
@@ -47,6 +47,7 @@
 REPORT_LIFE = 4 * SECOND  # a reported capacity is trusted less and less, and no more after this
 REPORT_LATE = 6 * SECOND  # a report sooner after a start may be from before it
 FLOW_SPAN = 500 * MS  # counts of lines in use closer than this say nothing of the flow
+SHORT_SPAN = 0.2  # part of a call's length in which hardly a call begins and ends
 HOLD_MEMORY = 0.02  # weight of one call's class in the mean length
 FLOW_MEMORY = 2 * SECOND  # memory of a server's flow
 VANISHED_PART = 0.1  # more calls gone at once than ends and chance explain: the server restarted
@@ -158,7 +159,7 @@
         self.last_delay = self.answered_at = self.lost_in_row = self.faults_in_row = 0
         self.silent = False
         self.free: float | None = None
-        self.lines, self.in_use, self.lines_at = 0.0, 0.0, 0
+        self.lines, self.in_use, self.lines_at, self.hold = 0.0, 0.0, 0, 0.0
         self.told_at, self.told_gap = 0, SECOND  # word of free lines, unasked: when last, and how long apart
         self.flow = 0.0  # set-ups that stood lately, of all gateways; 0 = unknown
         self.turnover = 0.0  # calls that end, so lines that come free
@@ -190,13 +191,16 @@
         span, before, vanished = now - self.lines_at, self.in_use, False
         if span >= FLOW_SPAN:
             if before > 0 and lines == self.lines and hold:
-                ends = before * (1.0 - exp(-span / hold))
+                part = 1.0 - exp(-span / hold)  # of the calls there that end meanwhile
+                ends = before * part
                 stood = lines - free - before + ends
                 vanished = stood < -VANISHED_PART * before - 3.0 * sqrt(ends)
-                rate = max(0.0, stood) * SECOND / span
+                # Of those set up meanwhile, part have ended too: beyond a short span that counts.
+                counted = span if span < SHORT_SPAN * hold else hold * part
+                rate = max(0.0, stood) * SECOND / counted
                 self.flow += (rate - self.flow) * (span / (span + FLOW_MEMORY) if self.flow else 1.0)
             self.in_use, self.lines_at = lines - free, now
-            self.turnover = self.in_use * SECOND / hold if hold else 0.0
+            self.turnover, self.hold = self.in_use * SECOND / hold if hold else 0.0, hold
         self.free, self.lines = free, lines
         return vanished
 
@@ -244,7 +248,8 @@
             self.cut = (self.offered_rate - target) / self.offered_rate if self.offered_rate else 0.0
             rate = target if self.cut <= 0 else self.offered_rate * (1.0 - self.cut)
         free = self.free or 0.0
-        until_told = self.told_gap / SECOND  # else all gateways would meet at the last free lines by then
+        # Else all gateways would meet at the last free lines by the next word, or within a call's length.
+        until_told = min(self.told_gap, self.hold or SECOND) / SECOND
         if self.lines > 0 and free < self.turnover * until_told:
             rate = min(inf if rate is None else rate, part * (self.turnover + free / until_told))
         self.bucket.rate = rate
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -190,6 +190,26 @@
         assert server.bucket.rate == rate  # 80 lines come free in a second
 
 
+def test_flow_counts_calls_that_begin_and_end_between_two_words():
+    """90 lines in use by calls of 300 ms: 300 set-ups a second, whatever the gap between two words."""
+    for gap in (250 * MS, 500 * MS, 1000 * MS):
+        gateway = Gateway(replace(SETTINGS, classes=(replace(NORMAL, mean_hold=300 * MS),)))
+        for free in (1000.0, *[910.0] * 20):
+            gateway.passes(max(gap, 500 * MS))
+            gateway.handle(ServerReport("a", True, False, (free, 1000.0)))
+        assert abs(gateway.controller.servers["a"].flow - 300) < 10
+
+
+def test_the_guard_on_free_lines_looks_no_further_than_a_call_lasts():
+    gateway = Gateway(replace(SETTINGS, classes=(replace(NORMAL, mean_hold=200 * MS),)))
+    for _ in range(4):
+        gateway.passes(SECOND)
+        gateway.handle(ServerReport("a", True, False, (20.0, 60.0)))
+    server = gateway.controller.servers["a"]
+    server.shape(gateway.now, 0.5)
+    assert server.bucket.rate == 0.5 * (200 + 100)  # 40 come free in 200 ms, and 20 are free
+
+
 def test_full_processor_is_passed_over_for_a_moment(gateway):
     gateway.offer(dest=0)
     gateway.ended("a", Outcome.FULL, full=True)
