Keep the connection of a draining log server that tells no free lines

The log showed, 2 s after each drain was told, a connection left as mute, a refused reconnect and standing calls cut: one that drains stops telling free lines and takes no connection, yet its calls stand and end on the old one. At fault: Link._missed_word, which did not ask whether the server drains.

--- a/mallowquay/net/platform_servers.py
+++ b/mallowquay/net/platform_servers.py
@@ -226,6 +226,8 @@
             self.side.cut_standing(self.server.id, Ending.CONNECTION_SILENT)
 
     def _missed_word(self, now: timedelta) -> bool:
+        if self.server.status is not ServerStatus.READY:
+            return False  # one that drains need not tell its free lines, and calls stand there and end
         gap = self.told_gap or GAP_UNKNOWN
         late = max(gap * LATE_WORD, LATE_LEAST)
         told_at = self.opened_at if self.told_at is None else self.told_at
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -319,6 +319,18 @@
         server.say("down", "00000000000000d1", cause=16)  # a release that was missed comes on the next one
         self.assertEqual(self.caller.read()["call-id"], "00000000000000d1")
 
+    def test_a_draining_server_that_tells_no_free_lines_keeps_its_connection_and_calls(self) -> None:
+        server = self.log_servers[0]
+        self.set_up("00000000000000d5")
+        for _ in range(3):
+            server.say("gauge", "", load="x0:1000;x1:1000")
+            self.assertTrue(self.caller.silent(0.1))
+        self.tell(server, 1)
+        server.listener.close()  # it takes no new connection either
+        self.assertTrue(self.caller.silent(1.0))  # seen as cut, the call would be released by now
+        server.say("down", "00000000000000d5", cause=16)
+        self.assertEqual(self.caller.read()["reason"], "Q.850;cause=16")
+
     def test_more_than_is_due_harms_nothing(self) -> None:
         server = self.log_servers[0]
         self.caller.invite("00000000000000d3")
