At the cap, spare connections with standing calls and those that came just now

The log showed 676 connections in a second meeting the cap of 320: what gave way was the oldest idle connection, callers' with standing calls among them, and their releases then went to whichever connection was newest, one of a crowd that says nothing. At fault: PlatformFront._make_room and send_release. A connection accepted a moment ago is no longer the first to go, as its request may be on the way. The test fails without the change.

--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -47,6 +47,7 @@
 # A connection that has brought no whole message, or half of one, by then is closed: 3 s are allowed.
 MESSAGE_WITHIN = timedelta(milliseconds=2200)
 WATCH_EVERY = timedelta(milliseconds=200)
+NEW_FOR = timedelta(milliseconds=300)
 BAD_MOST = 16  # bad messages on one connection, then it is closed
 ID_LENGTH = 16
 HEX = frozenset("0123456789abcdefABCDEF")
@@ -60,6 +61,8 @@
         self.stream, self.buffer = stream, MessageBuffer()
         self.unanswered: set[str] = set()  # set-ups whose answer is due here and nowhere else
         self.waiting_since: timedelta | None = now  # for the rest of a message; None between messages
+        self.opened_at = now
+        self.standing: set[str] = set()  # calls that were set up here and stand: their releases come here
         self.spoke = False  # a whole message has come
         self.bad = 0
         self.closing = False  # what still comes is not for us
@@ -84,6 +87,7 @@
         self.connection.unanswered.discard(call.request.id)
         extra: list[Header] = []
         if answer.verdict is Verdict.STANDS:
+            self.connection.standing.add(call.request.id)
             parts = write_response(200, self.headers, extra, answer.description.encode("utf-8", "replace"))
         else:
             status = platform_status(answer)
@@ -95,6 +99,7 @@
 
     def release(self, call: Call, ending: Ending) -> None:
         """Send the release on the connection of the set-up, else on any."""
+        self.connection.standing.discard(call.request.id)
         self.front.send_release(call.request.id, self.uri, release_cause(ending), self.connection)
 
 
@@ -132,8 +137,6 @@
         connection = Connection(quiet(stream), self._clock())
         stream.max_write_buffer_size = WRITE_BUFFER_MOST
         self._connections[connection] = None
-        for call_id in list(self._unsent):
-            connection.write(self._unsent.pop(call_id))
         try:
             while True:
                 await fill(stream, connection.buffer)
@@ -154,14 +157,18 @@
                 self._calls.caller_left(call_id)
 
     def _make_room(self) -> bool:
-        """Close what is missed least: a connection that never spoke, else the one longest without a word.
+        """Close what is missed least; who has a set-up open or a call standing keeps its place.
 
-        Whoever has a set-up open keeps its place, and so does whoever speaks.
+        First one that has said nothing for a moment, then the one longest without a word. One that
+        came just now may have its first request on the way, so it goes last.
         """
-        idle = [known for known in self._connections if not known.unanswered]
+        grace = self._clock() - NEW_FOR
+        idle = [known for known in self._connections if not known.unanswered and not known.standing]
         if not idle:
             return False
-        least = next((known for known in idle if known.closing or not known.spoke), idle[0])
+        old = [known for known in idle if known.closing or (not known.spoke and known.opened_at <= grace)]
+        spoke = [known for known in idle if known.spoke]
+        least = (old or spoke or idle)[0]
         self._warn_most.warning("closed an idle connection: there are %d", len(self._connections))
         del self._connections[least]  # its place is free at once
         least.stream.close()
@@ -191,7 +198,11 @@
             message, buffer.start = parse(buffer.data, buffer.start, buffer.end)
             if message is None:
                 break
-            connection.spoke, connection.waiting_since = True, None
+            if not connection.spoke:
+                connection.spoke = True
+                for call_id in list(self._unsent):
+                    connection.write(self._unsent.pop(call_id))
+            connection.waiting_since = None
             try:
                 self._message(connection, message)
             except BadMessage as fault:  # whole and well framed, yet wrong: the connection goes on
@@ -298,8 +309,11 @@
     def _bye(self, connection: Connection, message: Message, call_id: str) -> None:
         cause = q850_cause(message.get("Reason"), NORMAL_CLEARING)
         self._reply(connection, message, 200)
-        if self._calls.caller_released(call_id, cause):
+        call = self._calls.get(call_id)
+        if call is not None and self._calls.caller_released(call_id, cause):
             self.over.add(call_id)
+            if isinstance(call.caller, PlatformCaller):
+                call.caller.connection.standing.discard(call_id)
         elif not self.over.holds(call_id) and self._calls.get(call_id) is None:
             # It may stand since before this process started.
             self.over.add(call_id)
@@ -322,8 +336,8 @@
         parts = write_request("BYE", uri, headers)
         if first is not None and first in self._connections and first.write(parts):
             return
-        for connection in reversed(self._connections):
-            if connection is not first and connection.write(parts):
+        for connection in reversed(self._connections):  # not on one of a crowd that says nothing
+            if connection.spoke and connection is not first and connection.write(parts):
                 return
         while len(self._unsent) >= 1024:
             self._unsent.pop(next(iter(self._unsent)))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -422,6 +422,20 @@
         self.assertEqual((waiting.read()["body"], late.read()["body"]), ("x", "x"))
         self.set_up("00000000000000f6")
 
+    def test_a_crowd_drives_out_no_connection_with_a_standing_call_and_hears_no_release(self) -> None:
+        self.set_up("00000000000000e1")
+        crowd = [self.other() for _ in range(60)]
+        for caller in crowd[-30:]:
+            try:
+                caller.send("OPTIONS", "p")  # they speak, so the one with the call is longest without a word
+                caller.read()
+            except (ConnectionError, EOFError):
+                pass
+        for _ in range(20):
+            self.other()
+        self.log_servers[0].say("down", "00000000000000e1", cause=16)
+        self.assertEqual(self.caller.read()["call-id"], "00000000000000e1")
+
     def test_an_id_that_is_taken(self) -> None:
         self.caller.invite("00000000000000f7")
         self.log_servers[0].read()
