End what is open on a connection that cannot be followed before its gentle close

Read in the code: after a framing fault the close takes up to 500 ms, and a call could come to stand meanwhile with its caller shut out; a connection that gave way at the cap could still be read once. Both end at once now. The test fails without the change.

--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -140,7 +140,8 @@
         try:
             while True:
                 await fill(stream, connection.buffer)
-                self._take(connection)
+                if connection in self._connections:  # else it gave way as this came, and is closed
+                    self._take(connection)
                 await asyncio.sleep(0)  # one that sends without a pause leaves the others their turn
         except StreamClosedError:
             pass
@@ -149,12 +150,17 @@
             connection.closing = True
             if isinstance(fault, BadMessage):
                 self._reply_bad(connection, fault)
+            self._give_up(connection)
             await close_gently(stream)
         finally:
             self._connections.pop(connection, None)
             stream.close()
-            for call_id in list(connection.unanswered):  # nobody is left to answer: no work for nothing
-                self._calls.caller_left(call_id)
+            self._give_up(connection)
+
+    def _give_up(self, connection: Connection) -> None:
+        """Nobody is left to answer, or will be: no work for nothing, and nothing may come to stand."""
+        for call_id in list(connection.unanswered):
+            self._calls.caller_left(call_id)
 
     def _make_room(self) -> bool:
         """Close what is missed least; who has a set-up open or a call standing keeps its place.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -471,6 +471,15 @@
         self.assertEqual(big.read()[""][8:11], "413")
         self.assertTrue(self.ended(big))
 
+    def test_what_is_open_on_a_connection_that_cannot_be_followed_ends_at_once(self) -> None:
+        other = self.other()
+        other.invite("00000000000000fd")
+        self.log_servers[0].read()
+        other.sock.sendall(b"\x00 garbage\r\n\r\n")
+        self.assertEqual(self.log_servers[0].read()["c"], 16)
+        self.assertEqual(other.read()[""][8:11], "487")
+        self.assertTrue(self.ended(other))
+
     def test_one_that_repeats_what_is_bad_is_closed_and_does_not_fill_the_log(self) -> None:
         flood = self.other()
         for _ in range(40):
