Serve readiness and the drain on a second address, on both fronts

The tests of tests/test_operation.py fail without it: nobody listens there. Ruled out in the code: that OPTIONS alone could tell it, since SIGTERM was its only 'no'.

--- a/mallowquay/__main__.py
+++ b/mallowquay/__main__.py
@@ -14,6 +14,7 @@
 from datetime import timedelta
 from functools import partial
 
+from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
 from tornado.netutil import bind_sockets
 
@@ -24,7 +25,9 @@
 from .core.model import ListTold
 from .net.clock import Metronome, UnixTime, monotonic
 from .net.consul import Consul
+from .net.control import serve as serve_control
 from .net.coordinator import Coordinator, read_known
+from .net.operation import Operation
 from .net.platform_front import PlatformFront
 from .net.platform_servers import PlatformServers
 from .net.sip.front import SipFront
@@ -49,12 +52,14 @@
         self.loop = IOLoop.current()
         self.done = asyncio.Event()
         self.stopped_at: timedelta | None = None
+        self.operation = Operation(monotonic)
         decisions = self.decisions = Decisions(settings.settings, settings.seed, monotonic)
         self.calls = Calls(
             decisions, monotonic, settings.release_wait, settings.guard_margin, settings.default_gap
         )
         self.metronome = Metronome(self.loop, self.calls)
         self.front: PlatformFront | SipFront | None = None
+        self.control: HTTPServer | None = None
         self.unreadable: Callable[[], int] = lambda: 0  # messages that were dropped or answered as bad
         self._reload: Callable[[Config], None] = lambda settings: None  # what a new file changes at once
 
@@ -64,7 +69,7 @@
         self.calls.attach(servers)
         most = self.config.sockets - config.SOCKETS_KEPT
         front = self.front = PlatformFront(
-            self.calls, monotonic, self.config.classes, self.config.end_margin, most
+            self.calls, monotonic, self.config.classes, self.config.end_margin, most, self.operation
         )
         self.unreadable = lambda: front.bad_messages + servers.unreadable
         front.stray_release = servers.release_stray
@@ -73,6 +78,7 @@
         def told(news: ListTold) -> None:
             self.calls.list_told(news)
             servers.list_told(news)
+            self.operation.list_known = True
 
         unix = UnixTime()
         try:
@@ -86,6 +92,7 @@
         self._reload = self._reload_platform
         host, port = platform.listen
         front.add_sockets(bind_sockets(port, host, backlog=BACKLOG))
+        self.operation.listening = True
         log.info("%s serves at %s:%d", platform.name, host, port)
 
     def start_sip(self, sip: SipConfig) -> None:
@@ -101,12 +108,14 @@
         servers = SipServers(self.calls, layer, monotonic, tag)
         self.calls.attach(servers)
         self.front = SipFront(
-            self.calls, layer, servers, monotonic, tag, sip, self.config.classes, self.config.end_margin
-        )
+            self.calls, layer, servers, monotonic, tag, sip, self.config.classes, self.config.end_margin,
+            self.operation,
+        )  # fmt: skip
 
         def told(news: ListTold) -> None:
             self.calls.list_told(news)
             servers.list_told(news)
+            self.operation.list_known = True
 
         if self.config.consul is not None:
             transport.spawn(Consul(self.config.consul, UnixTime(), told, chance).follow())
@@ -123,6 +132,7 @@
             transport.listen_udp(sip.udp)
         if sip.tcp is not None:
             transport.listen_tcp(sip.tcp)
+        self.operation.listening = True
         places = [f"{name} {host}:{port}" for name, (host, port) in transport.listening().items()]
         log.info("SIP at %s", ", ".join(places))
 
@@ -155,8 +165,7 @@
             return
         log.info("stopping with %d calls unanswered", self.calls.unanswered)
         self.stopped_at = monotonic()
-        if self.front is not None:
-            self.front.stopping = True
+        self.operation.stop()
         self._look()
 
     def _look(self) -> None:
@@ -184,6 +193,8 @@
         program.start_platform(settings.platform)
     if settings.sip is not None:
         program.start_sip(settings.sip)
+    if settings.control is not None:
+        program.control = serve_control(program.operation, settings.control)
     gc.collect()
     gc.freeze()  # what stands from the start is never looked through again: shorter pauses
     await program.done.wait()
--- a/mallowquay/config.py
+++ b/mallowquay/config.py
@@ -102,6 +102,7 @@
     sip: SipConfig | None = None
     consul: ConsulConfig | None = None
     xds: XdsConfig | None = None
+    control: tuple[str, int] | None = None  # the second address
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -133,7 +134,11 @@
     limits = document.get("limits", {})
     sockets = want(limits, "sockets", int, "limits.") if "sockets" in limits else DEFAULT_SOCKETS
     settings = want(document, "settings", dict)
-    return common(settings, read_seed(document.get("seed", "0")), sockets, platform=platform)
+    control = environment.get("LB_CONTROL") or document.get("control")
+    return replace(
+        common(settings, read_seed(document.get("seed", "0")), sockets, platform=platform),
+        control=None if control is None else address(control, "control"),
+    )
 
 
 def common(
@@ -186,7 +191,7 @@
 
 DEFAULT_RULES = {"drainGrace": 500_000, "coldFrom": 0.29, "cold": 15_000_000, "fallMultiple": 3.0}
 DEFAULT_RULES |= {"fall": 3_000_000}
-TOP_KEYS = {"sip", "classes", "servers", "limits", "gatekeepers", "seed", "consul", "xds"}
+TOP_KEYS = {"sip", "classes", "servers", "limits", "gatekeepers", "seed", "consul", "xds", "control"}
 CONSUL_KEYS = {"address", "service", "datacenter", "token_file", "wait_ms"}
 XDS_KEYS = {"listen", "cluster"}
 SIP_KEYS = {"udp", "tcp", "default_class", "t1_ms", "t2_ms", "t4_ms", "calls_most", "transactions_most"}
@@ -246,7 +251,8 @@
         raise ConfigError("servers and consul exclude each other: one source names the log servers")
     xds = _xds(document["xds"]) if "xds" in document else None
     seed = read_seed(document.get("seed") or f"{secrets.randbits(64):x}")
-    return common(settings, seed, sockets, sip=sip, consul=consul, xds=xds)
+    control = address(want(document, "control", str), "control") if "control" in document else None
+    return replace(common(settings, seed, sockets, sip=sip, consul=consul, xds=xds), control=control)
 
 
 def _consul(table: Any) -> ConsulConfig:
@@ -359,8 +365,10 @@
     return value
 
 
-def address(text: str, key: str) -> tuple[str, int]:
+def address(text: object, key: str) -> tuple[str, int]:
     """Host and port of `host:port`."""
+    if not isinstance(text, str):
+        raise ConfigError(f"{key} must be host:port, not {text!r}")
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
         raise ConfigError(f"{key} must be host:port, not {text!r}")
@@ -416,6 +424,7 @@
         ("limits.sockets", before.sockets, after.sockets),
         ("consul", before.consul, after.consul),
         ("xds", before.xds, after.xds),
+        ("control", before.control, after.control),
     ]
     if before.platform is not None and after.platform is not None:
         pairs.append(("listen", before.platform.listen, after.platform.listen))
--- /dev/null
+++ b/mallowquay/net/control.py
@@ -0,0 +1,78 @@
+"""The second address, for on-call staff and the platform: readiness, figures, the drain."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from .http import BoundedServer
+from .operation import Operation
+
+PLACES = 16  # connections at once, of the descriptors that config.SOCKETS_KEPT keeps
+CALL_WITHIN = timedelta(seconds=5)  # a connection that finishes no call by then is closed
+HEAD_MOST, BODY_MOST = 8 * 1024, 4 * 1024
+
+Figures = Callable[[], dict[str, Any]]
+
+
+class ControlServer(BoundedServer):
+    """Callers that finish no call give way to others."""
+
+    most, gives_way = PLACES, True
+
+
+class _Handler(RequestHandler):
+    def initialize(self, operation: Operation) -> None:
+        self._operation = operation
+
+    def _say(self, yes: bool) -> None:
+        self.set_status(200 if yes else 503)
+        self.finish({"ready": yes})
+
+
+class _Healthcheck(_Handler):
+    def get(self) -> None:
+        """Whether this process is ready to serve."""
+        self._say(self._operation.ready)
+
+
+class _Fail(_Handler):
+    def post(self) -> None:
+        """Drain."""
+        self._operation.drain()
+        self.finish({"drained": True})
+
+
+class _Ok(_Handler):
+    def post(self) -> None:
+        """The end of the drain."""
+        self._operation.undo()
+        self.finish({"drained": False})
+
+
+def serve(operation: Operation, address: tuple[str, int]) -> HTTPServer:
+    """Listen on the second address: one call per connection."""
+    own = {"operation": operation}
+    application = Application(
+        [
+            ("/healthcheck", _Healthcheck, own),
+            ("/healthcheck/fail", _Fail, own),
+            ("/healthcheck/ok", _Ok, own),
+        ],
+        log_function=lambda handler: None,
+    )
+    server = ControlServer(
+        application,
+        no_keep_alive=True,
+        max_header_size=HEAD_MOST,
+        max_body_size=BODY_MOST,
+        max_buffer_size=HEAD_MOST + BODY_MOST,
+        idle_connection_timeout=CALL_WITHIN.total_seconds(),
+        body_timeout=CALL_WITHIN.total_seconds(),
+    )
+    server.listen(address[1], address[0])
+    return server
--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -15,6 +15,7 @@
 from ..config import ClassConfig
 from ..core.calls import Call, Calls, CallState
 from ..core.model import Clock, Ending, FinalAnswer, Request, Verdict
+from .operation import Operation
 from .recent import Recent
 from .seldom import Seldom
 from .sip.message import (
@@ -35,8 +36,10 @@
     WRITE_BUFFER_MOST,
     MessageBuffer,
     TooLong,
+    at_rest,
     close_gently,
     fill,
+    finish_writing,
     gathered_write,
     quiet,
 )
@@ -48,6 +51,7 @@
 MESSAGE_WITHIN = timedelta(milliseconds=2200)
 WATCH_EVERY = timedelta(milliseconds=200)
 NEW_FOR = timedelta(milliseconds=300)
+AWAY_GAP = timedelta(milliseconds=500)  # callers that are sent away come back so much later, elsewhere
 BAD_MOST = 16  # bad messages on one connection, then it is closed
 ID_LENGTH = 16
 HEX = frozenset("0123456789abcdefABCDEF")
@@ -66,6 +70,7 @@
         self.spoke = False  # a whole message has come
         self.bad = 0
         self.closing = False  # what still comes is not for us
+        self.reading = False  # nothing has been read that is not taken
 
     def write(self, parts: list[bytes]) -> bool:
         """Send a message; False if the connection is gone."""
@@ -96,6 +101,7 @@
             parts = write_response(status, self.headers, extra)
             self.front.over.add(call.request.id)  # late word on its attempts must not reach the caller
         self.connection.write(parts)
+        self.front.leave(self.connection)
 
     def release(self, call: Call, ending: Ending) -> None:
         """Send the release on the connection of the set-up, else on any."""
@@ -107,11 +113,17 @@
     """Listens for callers and turns their messages into calls of the core."""
 
     def __init__(
-        self, calls: Calls, clock: Clock, classes: dict[str, ClassConfig], end_margin: timedelta, most: int
+        self,
+        calls: Calls,
+        clock: Clock,
+        classes: dict[str, ClassConfig],
+        end_margin: timedelta,
+        most: int,
+        operation: Operation,
     ) -> None:
         super().__init__(max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
         self._calls, self._clock, self._classes = calls, clock, classes
-        self._margin, self._most = end_margin, most
+        self._margin, self._most, self._operation = end_margin, most, operation
         self._connections: dict[Connection, None] = {}  # the one heard of last at the end
         self._warn_bad, self._warn_most = Seldom(log, clock), Seldom(log, clock)
         self._watch = PeriodicCallback(self.watch, WATCH_EVERY)
@@ -121,7 +133,6 @@
         self.answered = Recent(4096)  # ids that have had their final answer: they do not come again
         # A release of a call that this process never took.
         self.stray_release: Callable[[str, int], None] = lambda call_id, cause: None
-        self.stopping = False
         self.bad_messages = 0
 
     def settled(self) -> bool:
@@ -139,9 +150,13 @@
         self._connections[connection] = None
         try:
             while True:
+                connection.reading = True
                 await fill(stream, connection.buffer)
+                connection.reading = False
                 if connection in self._connections:  # else it gave way as this came, and is closed
                     self._take(connection)
+                else:
+                    connection.buffer.start = connection.buffer.end
                 await asyncio.sleep(0)  # one that sends without a pause leaves the others their turn
         except StreamClosedError:
             pass
@@ -180,10 +195,24 @@
         least.stream.close()
         return True
 
+    def leave(self, connection: Connection) -> None:
+        """While callers are sent away: close a connection between requests, gently.
+
+        Calls that stand are bound to no connection. What has come and is not read yet is taken first.
+        """
+        if not self._operation.closing or connection not in self._connections or connection.unanswered:
+            return
+        buffer = connection.buffer
+        if connection.reading and buffer.start == buffer.end and at_rest(connection.stream):
+            connection.closing = True
+            del self._connections[connection]
+            finish_writing(connection.stream)
+
     def watch(self) -> None:
-        """Close connections whose next message does not get whole."""
+        """Close connections whose next message does not get whole, and all while callers are sent away."""
         now = self._clock()
         for connection in list(self._connections):
+            self.leave(connection)
             since = connection.waiting_since
             if since is not None and now - since >= MESSAGE_WITHIN and not connection.unanswered:
                 connection.closing = True
@@ -231,7 +260,7 @@
             return
         call_id = message.get("Call-ID")
         if message.method == "OPTIONS":
-            self._reply(connection, message, 503 if self.stopping else 200)
+            self._reply(connection, message, 200 if self._operation.ready else 503)
             return
         if len(call_id) != ID_LENGTH or not HEX.issuperset(call_id):
             raise BadMessage(400, "Call-ID is not 16 hex digits", message)
@@ -253,7 +282,12 @@
     def _invite(self, connection: Connection, message: Message, call_id: str) -> None:
         request = self._to_request(message, call_id)
         known = self._calls.get(call_id)
-        if known is None and not self.answered.holds(call_id):
+        if known is None and not self.answered.holds(call_id) and self._operation.refusing:
+            gap = ("P-Gap-Ms", str(AWAY_GAP // MILLISECOND))
+            connection.write(write_response(503, copied_headers(message), [gap]))
+            self.answered.add(call_id)
+            self.leave(connection)
+        elif known is None and not self.answered.holds(call_id):
             # One whose connection closed before its answer may come again, on another connection.
             connection.unanswered.add(call_id)
             self._calls.offer(request, PlatformCaller(self, connection, message))
--- a/mallowquay/net/sip/front.py
+++ b/mallowquay/net/sip/front.py
@@ -6,9 +6,12 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from tornado.ioloop import PeriodicCallback
+
 from ...config import OTHER, ClassConfig, SipConfig
 from ...core.calls import Call, Calls
 from ...core.model import Clock, Ending, FinalAnswer, Request, Verdict
+from ..operation import Operation
 from ..statuses import NORMAL_CLEARING, release_cause, sip_status
 from .dialogs import Dialog, DialogId, id_of_request, of_request
 from .message import (
@@ -42,6 +45,8 @@
 REFUSED_KEPT = 8192  # answers to set-ups turned away: copies come within 64 T1
 EXPIRES_MOST = timedelta(hours=1)
 
+WATCH_EVERY = timedelta(milliseconds=200)
+
 LegKey = tuple[str, str, int]  # Call-ID, From tag, CSeq: the same on either transport
 
 
@@ -186,13 +191,16 @@
         config: SipConfig,
         classes: dict[str, ClassConfig],
         end_margin: timedelta,
+        operation: Operation,
     ) -> None:
         self.calls, self.layer, self.clock, self.new_tag = calls, layer, clock, new_tag
         self._servers, self._config, self._classes, self._margin = servers, config, classes, end_margin
+        self._operation = operation
         self.legs: dict[LegKey, CallerLeg] = {}
         self.dialogs: dict[DialogId, CallerLeg] = {}
         self._refused: dict[LegKey, str] = {}  # and the tag of the answer
-        self.stopping = False
+        self._watch = PeriodicCallback(self.watch, WATCH_EVERY)
+        self._watch.start()
         layer.on_request, layer.on_ack = self.request, self.ack
 
     # --- requests
@@ -220,7 +228,7 @@
         elif method == "INVITE" and isinstance(transaction, InviteServer):
             self._invite(transaction, request)
         elif method == "OPTIONS":
-            transaction.respond(503 if self.stopping else 200, [ALLOW], to_tag=self.new_tag())
+            transaction.respond(200 if self._operation.ready else 503, [ALLOW], to_tag=self.new_tag())
         elif method == "BYE":
             transaction.respond(481, [], to_tag=self.new_tag())
         else:
@@ -234,7 +242,7 @@
             leg.join(transaction, transaction.hop)
             return
         request = self._to_request(key, invite)
-        if key in self._refused or len(self.legs) >= self._config.calls_most:
+        if key in self._refused or len(self.legs) >= self._config.calls_most or self._operation.refusing:
             self._refuse(transaction, key)
             return
         leg = self.legs[key] = CallerLeg(self, key, invite, transaction.hop)
@@ -316,6 +324,13 @@
         """Whether every 200 has its ACK: until then a stopping program stays."""
         return all(leg.acknowledged or leg.over for leg in self.dialogs.values())
 
+    def watch(self) -> None:
+        """While callers are sent away: close their connections between requests."""
+        if self._operation.closing:
+            waiting = [leg for leg in self.legs.values() if leg.final is None]
+            hops = [transaction.hop for leg in waiting for transaction in leg.transactions]
+            self.layer.transport.leave({hop.connection for hop in hops})
+
     # --- for legs
 
     def stands(self, leg: CallerLeg) -> None:
--- a/mallowquay/net/sip/transport.py
+++ b/mallowquay/net/sip/transport.py
@@ -4,7 +4,7 @@
 
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -21,8 +21,10 @@
     ConnectFailed,
     MessageBuffer,
     TooLong,
+    at_rest,
     close_ending,
     fill,
+    finish_writing,
     gathered_write,
     open_stream,
     quiet,
@@ -66,6 +68,8 @@
     def __init__(self, stream: IOStream, address: Address, outgoing: bool) -> None:
         self.stream, self.address, self.outgoing = stream, address, outgoing
         self.buffer = MessageBuffer()
+        self.reading = False  # nothing has been read that is not taken
+        self.closing = False  # what still comes is not for us
 
     def write(self, parts: list[bytes]) -> bool:
         """Send a message; False if the connection is gone."""
@@ -200,7 +204,11 @@
         ending: Ending | None = None
         try:
             while True:
+                connection.reading = True
                 await fill(stream, buffer)
+                connection.reading = False
+                if connection.closing:
+                    buffer.start = buffer.end
                 self._take_all(connection)
         except StreamClosedError:
             pass
@@ -218,6 +226,15 @@
         if connection.outgoing:
             self.lost(connection.address, ending or close_ending(stream))
 
+    def leave(self, busy: Set[Connection | None]) -> None:
+        """Close callers' connections between requests, but for these."""
+        for connection in [known for known in self._connections if known not in busy]:
+            buffer = connection.buffer
+            rests = connection.reading and buffer.start == buffer.end and at_rest(connection.stream)
+            if rests and not connection.outgoing and not connection.closing:
+                connection.closing = True
+                finish_writing(connection.stream)
+
     def _take_all(self, connection: Connection) -> None:
         buffer = connection.buffer
         while buffer.start < buffer.end:
--- a/mallowquay/net/streams.py
+++ b/mallowquay/net/streams.py
@@ -144,6 +144,28 @@
         stream.close()
 
 
+def at_rest(stream: IOStream) -> bool:
+    """Nothing waits to be written, and nothing has come that is yet to be read."""
+    if stream.closed() or stream.writing():
+        return False
+    try:
+        return not stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+
+
+def finish_writing(stream: IOStream) -> None:
+    """Close gently a stream that a coroutine goes on reading: it ends with the far end, or in a moment."""
+    try:
+        stream.socket.shutdown(socket.SHUT_WR)
+    except OSError:
+        stream.close()
+        return
+    stream.io_loop.add_timeout(LINGER, stream.close)
+
+
 def quiet(stream: IOStream) -> IOStream:
     """Small messages leave at once."""
     stream.set_nodelay(True)
--- a/mallowquay/net/xds.py
+++ b/mallowquay/net/xds.py
@@ -4,22 +4,21 @@
 
 import json
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
 from tornado.httpserver import HTTPServer
-from tornado.iostream import IOStream
 from tornado.web import Application, RequestHandler
 
 from ..core.model import Level, Rating, Server, ServerStatus
+from .http import BoundedServer
 
 log = logging.getLogger(__name__)
 
 TYPE = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
 PATH = "/v3/discovery:endpoints"
 BODY_MOST = 64 * 1024
-CONNECTIONS_MOST = 32  # of the descriptors that config.SOCKETS_KEPT keeps
 IDLE_MOST = timedelta(minutes=2)
 WEIGHT_MOST = 100  # weights are parts of the strongest server: coarse, so that noise makes no new version
 HEALTH = {Level.NORMAL: "HEALTHY", Level.WARNING: "DEGRADED", Level.CRITICAL: "UNHEALTHY"}
@@ -124,22 +123,12 @@
             self.finish(answer)
 
 
-class _Server(HTTPServer):
-    """An HTTP server that keeps a bounded number of connections open."""
-
-    def handle_stream(self, stream: IOStream, address: Any) -> Awaitable[None] | None:  # type: ignore[override]
-        if len(self._connections) >= CONNECTIONS_MOST:
-            stream.close()
-            return None
-        return super().handle_stream(stream, address)  # type: ignore[return-value]
-
-
 def serve(endpoints: Endpoints, address: tuple[str, int]) -> HTTPServer:
     """Listen for proxies."""
     application = Application(
         [(PATH, _Discovery, {"endpoints": endpoints})], log_function=lambda handler: None
     )
-    server = _Server(
+    server = BoundedServer(
         application,
         max_body_size=BODY_MOST,
         max_buffer_size=2 * BODY_MOST,
--- /dev/null
+++ b/tests/test_operation.py
@@ -0,0 +1,164 @@
+"""Day-to-day operation: the real program's second address, as on-call staff and the platform use it."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import socket
+import time
+import unittest
+from typing import Any
+
+from sip_peers import operators_file, sip_port
+from support import Caller, Process, connect, free_port, receive
+from test_platform import PlatformCase
+
+from mallowquay.net.control import PLACES
+
+
+class ControlCase(PlatformCase):
+    """The platform's front with a second address."""
+
+    def setUp(self) -> None:
+        self.control = free_port()
+        super().setUp()
+
+    def environment(self) -> dict[str, str]:
+        return {"LB_CONTROL": f"127.0.0.1:{self.control}"}
+
+    def call(self, method: str, path: str, port: int = 0) -> tuple[int, Any]:
+        return control_call(port or self.control, method, path)
+
+
+def control_call(port: int, method: str, path: str) -> tuple[int, Any]:
+    """One call on a second address: its status and what came."""
+    client = http.client.HTTPConnection("127.0.0.1", port, timeout=1.0)
+    try:
+        client.request(method, path)
+        answer = client.getresponse()
+        text = answer.read()
+        return answer.status, json.loads(text) if answer.status in (200, 503) else None
+    finally:
+        client.close()
+
+
+class ReadinessTest(ControlCase):
+    def test_ready_until_sigterm(self) -> None:
+        self.assertEqual(self.call("GET", "/healthcheck"), (200, {"ready": True}))
+        self.assertEqual(self.call("GET", "/elsewhere")[0] // 100, 4)
+        self.caller.invite("00000000000000e1")  # keeps the process until it is answered
+        self.log_servers[0].read()
+        self.program.terminate()
+        self.program.wait_for("stopping")
+        self.assertEqual(self.call("GET", "/healthcheck"), (503, {"ready": False}))
+
+    def test_one_call_a_connection(self) -> None:
+        sock = connect(self.control)
+        self.addCleanup(sock.close)
+        sock.sendall(b"GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n")
+        heard = b""
+        while data := sock.recv(4096):
+            heard += data
+        self.assertIn(b"200 OK", heard)
+
+    def test_callers_that_finish_no_call_do_not_shut_others_out(self) -> None:
+        silent = [connect(self.control) for _ in range(3 * PLACES)]
+        for sock in silent:
+            self.addCleanup(sock.close)
+        silent[-1].sendall(b"GET /healthcheck HT")
+        self.assertEqual(self.call("GET", "/healthcheck")[0], 200)
+
+    def test_what_cannot_be_read_ends_nothing(self) -> None:
+        for bad in (b"\x00\xff\r\n\r\n", b"POST /healthcheck/fail HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+                    b"POST /healthcheck/fail HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n",
+                    b"GET " + b"x" * 20000):  # fmt: skip
+            with connect(self.control) as sock:
+                sock.sendall(bad)
+        self.assertEqual(self.call("GET", "/healthcheck")[0], 200)
+
+
+class DrainTest(ControlCase):
+    def test_a_drain_closes_connections_between_requests_and_ends(self) -> None:
+        self.set_up("00000000000000d1")  # stands: its connection is closed all the same
+        busy = Caller(self.port)
+        busy.invite("00000000000000d2")
+        self.log_servers[0].read()
+        half = Caller(self.port)
+        half.sock.sendall(b"OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: x\r\n")
+        self.assertEqual(self.call("POST", "/healthcheck/fail")[0], 200)
+        self.assertEqual(self.call("GET", "/healthcheck")[0], 503)
+        self.assertEqual(self.call("POST", "/healthcheck/fail")[0], 200)
+        with self.assertRaises(EOFError):
+            self.caller.read()
+        self.assertTrue(busy.silent())  # taken: it is finished on its connection
+        half.sock.sendall(b"Content-Length: 0\r\n\r\n")  # read out before it is closed
+        self.assertEqual(half.read()[""], "SIP/2.0 503 Service Unavailable")
+        self.log_servers[0].say("up", "00000000000000d2", text="answer")
+        self.assertEqual(busy.read()[""], "SIP/2.0 200 OK")
+        for closed in (busy, half):
+            with self.assertRaises(EOFError):
+                closed.read()
+
+    def test_the_end_of_a_drain_undoes_all(self) -> None:
+        self.set_up("00000000000000d3")
+        self.call("POST", "/healthcheck/fail")
+        with self.assertRaises(EOFError):
+            self.caller.read()
+        self.assertEqual(self.call("POST", "/healthcheck/ok")[0], 200)
+        self.assertEqual(self.call("GET", "/healthcheck")[0], 200)
+        self.caller = Caller(self.port)
+        self.set_up("00000000000000d4")
+        self.log_servers[0].say("down", "00000000000000d3", cause=16)  # its release finds its caller
+        self.assertEqual(self.caller.read()["call-id"], "00000000000000d3")
+        self.assertTrue(self.caller.silent(1.0))  # and this one stays open
+
+    def test_a_connection_in_constant_use_is_emptied_and_closed(self) -> None:
+        self.call("POST", "/healthcheck/fail")
+        began, number, answers = time.monotonic(), 0, []
+        while not answers or answers[-1][""] == "SIP/2.0 200 OK":  # there is always a set-up open on it
+            self.assertLess(time.monotonic() - began, 4.0)
+            number += 1
+            self.caller.invite(f"{number:016x}")
+            if number > 1:
+                self.log_servers[0].say("up", f"{number - 1:016x}", text="answer")
+                answers.append(self.caller.read())
+            if not self.log_servers[0].silent(0.1):
+                self.assertEqual(self.log_servers[0].read()["ref"], f"{number:016x}")
+        answers.append(self.caller.read())  # that of the set-up before it comes too, in either order
+        refused = [answer for answer in answers if answer[""].startswith("SIP/2.0 503")]
+        self.assertEqual([("p-gap-ms" in answer) for answer in refused], [True])
+        self.assertEqual(len(answers), number)
+        with self.assertRaises(EOFError):
+            self.caller.read()
+
+
+class SipDrainTest(unittest.TestCase):
+    def test_the_second_front_drains_as_well(self) -> None:
+        port, control = sip_port(), free_port()
+        path = operators_file(port, [(free_port(), "udp")], extra="")
+        with open(path) as file:
+            text = f'control = "127.0.0.1:{control}"\n' + file.read()
+        with open(path, "w") as file:
+            file.write(text)
+        self.addCleanup(os.unlink, path)
+        program = Process([path], {})
+        self.addCleanup(program.stop)
+        stream = connect(port)
+        self.addCleanup(stream.close)
+        connect(control).close()
+        self.assertEqual(control_call(control, "GET", "/healthcheck")[0], 200)
+        self.assertEqual(control_call(control, "POST", "/healthcheck/fail")[0], 200)
+        self.assertEqual(control_call(control, "GET", "/healthcheck")[0], 503)
+        with self.assertRaises(EOFError):
+            receive(stream)
+        self.assertEqual(control_call(control, "POST", "/healthcheck/ok")[0], 200)
+        again = connect(port)
+        self.addCleanup(again.close)
+        again.settimeout(1.2)
+        with self.assertRaises(socket.timeout):
+            again.recv(1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -41,7 +41,8 @@
             json.dump(document, file)
         self.file = file.name
         self.addCleanup(os.unlink, file.name)
-        self.program = Process([], {"LB_CONFIG": file.name, "LB_LISTEN": f"127.0.0.1:{self.port}"})
+        environment = {"LB_CONFIG": file.name, "LB_LISTEN": f"127.0.0.1:{self.port}", **self.environment()}
+        self.program = Process([], environment)
         self.addCleanup(self.program.stop)
         for server in self.log_servers:
             server.accept()
@@ -50,6 +51,9 @@
         self.index = int.from_bytes(self.feed.recv(8), "big")
         self.caller = Caller(self.port)
 
+    def environment(self) -> dict[str, str]:
+        return {}
+
     def set_up(self, call_id: str, dest: int = 0) -> None:
         self.caller.invite(call_id, dest=dest)
         server = self.log_servers[dest]
