A drain leaves a connection open until the calls that stand on it are released

Ruled out: releases that never came (they came after the drain), and that a connection with a standing call counts as held idle (rules kept with this change). The test fails with the calls closed over.

--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -200,7 +200,9 @@
 
         Calls that stand are bound to no connection. What has come and is not read yet is taken first.
         """
-        if not self._operation.closing or connection not in self._connections or connection.unanswered:
+        if not self._operation.closing or connection not in self._connections:
+            return
+        if connection.unanswered or connection.standing:
             return
         buffer = connection.buffer
         if connection.reading and buffer.start == buffer.end and at_rest(connection.stream):
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -80,7 +80,10 @@
 
 class DrainTest(ControlCase):
     def test_a_drain_closes_connections_between_requests_and_ends(self) -> None:
-        self.set_up("00000000000000d1")  # stands: its connection is closed all the same
+        self.set_up("00000000000000d1")
+        standing, self.caller = self.caller, Caller(self.port)
+        self.caller.send("OPTIONS", "p")
+        self.assertEqual(self.caller.read()[""], "SIP/2.0 200 OK")
         busy = Caller(self.port)
         busy.invite("00000000000000d2")
         self.log_servers[0].read()
@@ -96,12 +99,19 @@
         self.assertEqual(half.read()[""], "SIP/2.0 503 Service Unavailable")
         self.log_servers[0].say("up", "00000000000000d2", text="answer")
         self.assertEqual(busy.read()[""], "SIP/2.0 200 OK")
-        for closed in (busy, half):
+        self.assertTrue(standing.silent())  # the release finds its caller here alone
+        for call_id in ("00000000000000d1", "00000000000000d2"):
+            self.log_servers[0].say("down", call_id, cause=16)
+        self.assertEqual(standing.read()["call-id"], "00000000000000d1")
+        self.assertEqual(busy.read()["call-id"], "00000000000000d2")
+        for closed in (busy, half, standing):
             with self.assertRaises(EOFError):
                 closed.read()
 
     def test_the_end_of_a_drain_undoes_all(self) -> None:
         self.set_up("00000000000000d3")
+        self.caller.sock.close()  # its connection is gone before its release
+        self.caller = Caller(self.port)
         self.call("POST", "/healthcheck/fail")
         with self.assertRaises(EOFError):
             self.caller.read()
@@ -129,6 +139,9 @@
         refused = [answer for answer in answers if answer[""].startswith("SIP/2.0 503")]
         self.assertEqual([("p-gap-ms" in answer) for answer in refused], [True])
         self.assertEqual(len(answers), number)
+        for stands in range(1, number):
+            self.log_servers[0].say("down", f"{stands:016x}", cause=16)
+            self.assertEqual(self.caller.read()["call-id"], f"{stands:016x}")
         with self.assertRaises(EOFError):
             self.caller.read()
 
