--- a/mallowquay/__main__.py
+++ b/mallowquay/__main__.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
+from typing import Any
 
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
@@ -22,6 +23,7 @@
 from .config import Config, ConfigError, PlatformConfig, SipConfig
 from .core.calls import Calls
 from .core.decisions import Decisions
+from .core.figures import Figures
 from .core.model import ListTold
 from .net.clock import Metronome, UnixTime, monotonic
 from .net.consul import Consul
@@ -55,9 +57,12 @@
         self.operation = Operation(monotonic)
         decisions = self.decisions = Decisions(settings.settings, settings.seed, monotonic)
         self.calls = Calls(
-            decisions, monotonic, settings.release_wait, settings.guard_margin, settings.default_gap
-        )
+            decisions, monotonic, settings.release_wait, settings.guard_margin, settings.default_gap,
+            Figures(settings.classes),
+        )  # fmt: skip
         self.metronome = Metronome(self.loop, self.calls)
+        self.members: Callable[[], int] = lambda: 0  # log servers in the list
+        self.reloads = self.reload_errors = 0
         self.front: PlatformFront | SipFront | None = None
         self.control: HTTPServer | None = None
         self.unreadable: Callable[[], int] = lambda: 0  # messages that were dropped or answered as bad
@@ -71,6 +76,7 @@
         front = self.front = PlatformFront(
             self.calls, monotonic, self.config.classes, self.config.end_margin, most, self.operation
         )
+        self.members = lambda: len(servers.servers)
         self.unreadable = lambda: front.bad_messages + servers.unreadable
         front.stray_release = servers.release_stray
         servers.stray_ended = front.stray_ended
@@ -107,6 +113,7 @@
         transport.take, transport.lost = layer.take, layer.connection_lost
         servers = SipServers(self.calls, layer, monotonic, tag)
         self.calls.attach(servers)
+        self.members = lambda: len(servers.servers)
         self.front = SipFront(
             self.calls, layer, servers, monotonic, tag, sip, self.config.classes, self.config.end_margin,
             self.operation,
@@ -145,11 +152,24 @@
             settings = read()
             self._reload(settings)
         except ConfigError as fault:
+            self.reload_errors += 1
             log.error("the new configuration is not taken, the one before stays: %s", fault)
             return
+        self.reloads += 1
         rest = ", ".join(config.fixed_changes(self.config, settings))
         log.info("the configuration was read anew%s", f"; at the next start only: {rest}" if rest else "")
 
+    def figures(self) -> dict[str, Any]:
+        """What the second address reports."""
+        return {
+            **self.calls.figures.told(),
+            "pending": self.calls.pending,
+            "members": self.members(),
+            "members_unavailable": self.decisions.avoided(),
+            "config_reloads": self.reloads,
+            "config_reload_errors": self.reload_errors,
+        }
+
     def _reload_platform(self, settings: Config) -> None:
         if settings.platform is not None:
             self.coordinator.move(settings.platform.coordinator)
@@ -194,7 +214,7 @@
     if settings.sip is not None:
         program.start_sip(settings.sip)
     if settings.control is not None:
-        program.control = serve_control(program.operation, settings.control)
+        program.control = serve_control(program.operation, program.figures, settings.control)
     gc.collect()
     gc.freeze()  # what stands from the start is never looked through again: shorter pauses
     await program.done.wait()
--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from .decisions import Decisions
+from .figures import Figures
 from .model import (
     Attempt,
     CallerLeft,
@@ -89,10 +90,12 @@
         release_wait: timedelta,
         answer_margin: timedelta,
         default_gap: timedelta,
+        figures: Figures,
     ) -> None:
         self._decisions, self._clock = decisions, clock
         self._release_wait, self._margin, self._gap = release_wait, answer_margin, default_gap
         self._servers: ServerSide | None = None
+        self.figures = figures
         self._calls: dict[str, Call] = {}
         self._due: list[tuple[timedelta, int, Callable[[], None]]] = []
         self._order = count()
@@ -106,6 +109,11 @@
         """Name the side that carries attempts."""
         self._servers = servers
 
+    @property
+    def pending(self) -> int:
+        """Requests taken and not ended: unanswered, or answered with a call that stands."""
+        return len(self._calls)
+
     def get(self, request_id: str) -> Call | None:
         """The call of this id, while anything is open or stands."""
         return self._calls.get(request_id)
@@ -137,6 +145,10 @@
         self._do(lambda: _as_list(self._decisions.pick(request)))
         return call
 
+    def turn_away(self, request: Request) -> None:
+        """A front refuses a call that it cannot take: no decision is asked for, yet it counts."""
+        self.figures.ended(request.class_name, Verdict.REFUSED)
+
     def caller_left(self, request_id: str) -> bool:
         """The caller gives the set-up up; True if the call had no final answer yet."""
         return self._give_up(request_id, Verdict.CANCELLED)
@@ -171,6 +183,10 @@
 
     # --- from the servers' side
 
+    def written(self, attempt: Attempt) -> None:
+        """The set-up has left whole for its log server."""
+        self.figures.attempts += 1
+
     def stood(self, attempt: Attempt, description: str, load: Load | None = None) -> bool:
         """The log server answered; False if the attempt is no longer out."""
         call = self._calls.get(attempt.request.id)
@@ -178,6 +194,7 @@
             return False
         call.state = CallState.STANDING
         self.unanswered -= 1
+        self.figures.ended(call.request.class_name, Verdict.STANDS)
         self._do(lambda: self._decisions.report(Stood(attempt)))
         if load:
             self._do(lambda: self._decisions.report(LoadTold(attempt.server, load)))
@@ -316,6 +333,7 @@
         """The one final answer of a call that does not come to stand."""
         call.state, call.attempt = CallState.OVER, None
         self.unanswered -= 1
+        self.figures.ended(call.request.class_name, answer.verdict)
         del self._calls[call.request.id]
         call.caller.answer(call, answer)
 
--- a/mallowquay/core/decisions.py
+++ b/mallowquay/core/decisions.py
@@ -161,6 +161,10 @@
             Rating(name, LEVELS[level], takes) for name, level, takes in self._controller.ratings(self._now())
         ]
 
+    def avoided(self) -> int:
+        """How many log servers of the list the module sends nothing to now."""
+        return self._controller.avoided(self._now())
+
     def drop(self, request_id: str) -> None:
         """Forget a call that ended without an attempt."""
         self._forget(request_id)
--- a/mallowquay/net/control.py
+++ b/mallowquay/net/control.py
@@ -40,6 +40,16 @@
         self._say(self._operation.ready)
 
 
+class _Stats(_Handler):
+    def initialize(self, operation: Operation, figures: Figures) -> None:  # type: ignore[override]
+        super().initialize(operation)
+        self._figures = figures
+
+    def get(self) -> None:
+        """The figures."""
+        self.finish(self._figures())
+
+
 class _Fail(_Handler):
     def post(self) -> None:
         """Drain."""
@@ -54,12 +64,13 @@
         self.finish({"drained": False})
 
 
-def serve(operation: Operation, address: tuple[str, int]) -> HTTPServer:
+def serve(operation: Operation, figures: Figures, address: tuple[str, int]) -> HTTPServer:
     """Listen on the second address: one call per connection."""
     own = {"operation": operation}
     application = Application(
         [
             ("/healthcheck", _Healthcheck, own),
+            ("/stats", _Stats, {**own, "figures": figures}),
             ("/healthcheck/fail", _Fail, own),
             ("/healthcheck/ok", _Ok, own),
         ],
--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -287,6 +287,7 @@
         if known is None and not self.answered.holds(call_id) and self._operation.refusing:
             gap = ("P-Gap-Ms", str(AWAY_GAP // MILLISECOND))
             connection.write(write_response(503, copied_headers(message), [gap]))
+            self._calls.turn_away(request)
             self.answered.add(call_id)
             self.leave(connection)
         elif known is None and not self.answered.holds(call_id):
--- a/mallowquay/net/platform_servers.py
+++ b/mallowquay/net/platform_servers.py
@@ -24,6 +24,7 @@
     fill,
     gathered_write,
     open_stream,
+    when_written,
 )
 from .tasks import Tasks
 
@@ -119,7 +120,8 @@
         request = attempt.request
         fields = {"class": request.class_name, "key": request.number, "left": str(left // MILLISECOND)}
         self.open[request.id] = attempt
-        self.write({"t": "new", "ref": request.id, "f": fields, "d": request.description})
+        if self.write({"t": "new", "ref": request.id, "f": fields, "d": request.description}):
+            when_written(self.stream, lambda: self.side.calls.written(attempt))
 
     def withdraw(self, attempt: Attempt) -> None:
         """Give a set-up up."""
--- a/mallowquay/net/sip/front.py
+++ b/mallowquay/net/sip/front.py
@@ -243,6 +243,8 @@
             return
         request = self._to_request(key, invite)
         if key in self._refused or len(self.legs) >= self._config.calls_most or self._operation.refusing:
+            if key not in self._refused:
+                self.calls.turn_away(request)
             self._refuse(transaction, key)
             return
         leg = self.legs[key] = CallerLeg(self, key, invite, transaction.hop)
--- a/mallowquay/net/sip/servers.py
+++ b/mallowquay/net/sip/servers.py
@@ -77,6 +77,7 @@
         self.uri = f"sip:{request.number}@{host}:{port}"
         self.invite = InviteClient(side.layer, "INVITE", self.uri, headers, self.hop, self, body)
         self.invite.start()
+        side.calls.written(self.attempt)
 
     def withdraw(self) -> None:
         """Give the set-up up: CANCEL as soon as it may be sent, and BYE should a 200 come after all."""
--- a/mallowquay/net/streams.py
+++ b/mallowquay/net/streams.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 from tornado import gen
@@ -90,6 +90,19 @@
     return True
 
 
+def when_written(stream: IOStream, done: Callable[[], None]) -> None:
+    """Call when all that was given to the stream has left; never if it closes before."""
+    if not stream.writing():
+        done()
+        return
+
+    def settled(rest: asyncio.Future[None]) -> None:
+        if not rest.cancelled() and rest.exception() is None:
+            done()
+
+    stream.write(b"").add_done_callback(settled)
+
+
 def _ignore_failure(future: asyncio.Future[None]) -> None:
     # The read loop of the stream notices that it closed; nobody waits for this write.
     future.add_done_callback(lambda done: done.cancelled() or done.exception())
--- a/quincestand/logic.py
+++ b/quincestand/logic.py
@@ -371,6 +371,12 @@
                               else min(view.bucket.rate, takes or inf)))  # fmt: skip
         return rated
 
+    def avoided(self, now: int) -> int:
+        """Of the servers on the list, how many are passed over, drain, or are kept free while cold."""
+        listed = [view for view in self.servers.values() if view.entry.state is not ServerState.GONE]
+        return sum(not view.usable() or view.silent or now < max(view.pass_until, view.full_until)
+                   or not view.cold_room(now) for view in listed)  # fmt: skip
+
     # --- server list and reports
 
     def _server_list(self, now: int, event: ServerList) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -12,6 +12,7 @@
 from mallowquay import config
 from mallowquay.core.calls import Call, Calls, CallState
 from mallowquay.core.decisions import OUTCOMES, Decisions
+from mallowquay.core.figures import Figures
 from mallowquay.core.model import (
     Attempt,
     Decline,
@@ -76,7 +77,7 @@
     def setUp(self) -> None:
         self.clock, self.side = FakeClock(), FakeSide()
         self.decisions = Decisions(read_settings(config.flatten(SETTINGS)), 7, self.clock)
-        self.calls = Calls(self.decisions, self.clock, 300 * MS, 10 * MS, SECOND)
+        self.calls = Calls(self.decisions, self.clock, 300 * MS, 10 * MS, SECOND, Figures(["log-lookup"]))
         self.calls.attach(self.side)
         servers = tuple(Server(f"s{n}", ("127.0.0.1", n), n, ServerStatus.READY) for n in range(2))
         self.calls.list_told(ListTold(servers, whole=True))
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -78,6 +78,50 @@
         self.assertEqual(self.call("GET", "/healthcheck")[0], 200)
 
 
+class FiguresTest(ControlCase):
+    def stats(self) -> Any:
+        status, figures = self.call("GET", "/stats")
+        self.assertEqual(status, 200)
+        return figures
+
+    def test_figures_count_how_requests_end(self) -> None:
+        nothing = {"log-lookup": 0, "log-update": 0}
+        self.assertEqual(self.stats(), {
+            "completed": nothing, "rejected": nothing, "failed": nothing, "upstream_requests": 0,
+            "pending": 0, "members": 2, "members_unavailable": 0,
+            "config_reloads": 0, "config_reload_errors": 0,
+        })  # fmt: skip
+        self.set_up("00000000000000f1")
+        self.caller.invite("00000000000000f2", kind="log-update")  # an error, twice: it has failed
+        for _ in range(2):
+            server = self.log_servers[0] if not self.log_servers[0].silent(0.3) else self.log_servers[1]
+            server.read()
+            server.say("down", "00000000000000f2", cause=47)
+        self.assertTrue(self.caller.read()[""].startswith("SIP/2.0 500"))
+        self.caller.invite("00000000000000f3", left=60)  # no time for anything: refused
+        self.caller.read()
+        self.caller.invite("00000000000000f4")
+        self.log_servers[0].read()
+        figures = self.stats()
+        self.assertEqual(figures["completed"], {"log-lookup": 1, "log-update": 0})
+        self.assertEqual(figures["rejected"], {"log-lookup": 1, "log-update": 0})
+        self.assertEqual(figures["failed"], {"log-lookup": 0, "log-update": 1})
+        self.assertEqual((figures["upstream_requests"], figures["pending"]), (4, 2))  # one of the two stands
+        self.caller.send("CANCEL", "00000000000000f4")  # abandoned: no more than not pending
+        self.caller.read()
+        self.assertEqual(self.stats()["pending"], 1)
+        self.tell(self.log_servers[1], 1)
+        self.program.hang_up()
+        self.program.wait_for("read anew")
+        with open(self.file, "w") as file:
+            file.write("{")
+        self.program.hang_up()
+        self.program.wait_for("is not taken")
+        figures = self.stats()
+        self.assertEqual((figures["members"], figures["members_unavailable"]), (2, 1))
+        self.assertEqual((figures["config_reloads"], figures["config_reload_errors"]), (1, 1))
+
+
 class DrainTest(ControlCase):
     def test_a_drain_closes_connections_between_requests_and_ends(self) -> None:
         self.set_up("00000000000000d1")
