--- a/mallowquay/__main__.py
+++ b/mallowquay/__main__.py
@@ -9,6 +9,7 @@
 import random
 import secrets
 import signal
+import socket
 import sys
 from collections.abc import Callable
 from datetime import timedelta
@@ -65,6 +66,7 @@
         self.reloads = self.reload_errors = 0
         self.front: PlatformFront | SipFront | None = None
         self.control: HTTPServer | None = None
+        self.listeners: list[socket.socket] = []
         self.unreadable: Callable[[], int] = lambda: 0  # messages that were dropped or answered as bad
         self._reload: Callable[[Config], None] = lambda settings: None  # what a new file changes at once
 
@@ -97,7 +99,11 @@
         servers.spawn(self.coordinator.follow())
         self._reload = self._reload_platform
         host, port = platform.listen
-        front.add_sockets(bind_sockets(port, host, backlog=BACKLOG))
+        if platform.inherited is None:
+            self.listeners = bind_sockets(port, host, backlog=BACKLOG)
+        else:
+            self.listeners = [inherited_listener(platform.inherited, platform.listen)]
+        front.add_sockets(self.listeners)
         self.operation.listening = True
         log.info("%s serves at %s:%d", platform.name, host, port)
 
@@ -198,6 +204,23 @@
             self.loop.add_timeout(STOP_LOOKS, self._look)
 
 
+def inherited_listener(descriptor: int, address: tuple[str, int]) -> socket.socket:
+    """The listening socket that the platform holds; ConfigError if the descriptor is anything else."""
+    try:
+        listener = socket.socket(fileno=descriptor)
+    except OSError as fault:
+        raise ConfigError(f"LB_SOCKET_FD: {descriptor}: {fault.strerror}") from fault
+    where = f"LB_SOCKET_FD: {descriptor}"
+    if listener.type != socket.SOCK_STREAM or listener.family != socket.AF_INET:
+        raise ConfigError(f"{where} is no TCP socket")
+    if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        raise ConfigError(f"{where} does not listen")
+    if listener.getsockname() != address:
+        raise ConfigError(f"{where} listens at {listener.getsockname()}, not at {address}")
+    listener.setblocking(False)
+    return listener
+
+
 def _tag(chance: random.Random) -> str:
     return f"{chance.getrandbits(64):016x}"
 
--- a/mallowquay/config.py
+++ b/mallowquay/config.py
@@ -49,6 +49,8 @@
     listen: tuple[str, int]
     coordinator: tuple[str, int]
     known: dict[str, Any]
+    inherited: int | None = None  # the descriptor of a listening socket that the platform holds
+    meeting: str | None = None  # the folder in which two processes of an upgrade meet
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +132,8 @@
         listen=address(listen, "listen"),
         coordinator=address(want(document, "coordinator", str), "coordinator"),
         known=want(document, "known", dict),
+        inherited=_descriptor(environment.get("LB_SOCKET_FD")),
+        meeting=environment.get("TMPDIR"),
     )
     limits = document.get("limits", {})
     sockets = want(limits, "sockets", int, "limits.") if "sockets" in limits else DEFAULT_SOCKETS
@@ -141,6 +145,14 @@
     )
 
 
+def _descriptor(text: str | None) -> int | None:
+    if not text:
+        return None
+    if not text.isascii() or not text.isdigit():
+        raise ConfigError(f"LB_SOCKET_FD must be the number of a descriptor, not {text!r}")
+    return int(text)
+
+
 def common(
     settings: dict[str, Any],
     seed: int,
--- a/tests/support.py
+++ b/tests/support.py
@@ -42,11 +42,14 @@
 class Process:
     """The real program, started as the platform starts it."""
 
-    def __init__(self, arguments: list[str], environment: dict[str, str]) -> None:
+    def __init__(
+        self, arguments: list[str], environment: dict[str, str], descriptors: tuple[int, ...] = ()
+    ) -> None:
         self.log = tempfile.TemporaryFile()
         self.process = subprocess.Popen(
             [sys.executable, "-m", "mallowquay", *arguments],
             cwd=ROOT, env={**os.environ, **environment}, stderr=self.log, stdout=self.log,
+            pass_fds=descriptors,
         )  # fmt: skip
 
     def hang_up(self) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -28,7 +28,7 @@
         self.log_servers = [LogServer(number) for number in range(self.servers)]
         self.coordinator = socket.create_server(("127.0.0.1", 0))
         self.coordinator.settimeout(WAIT)
-        self.port = free_port()
+        self.port = self.listen_port()
         update = {"index": 1, "endpoints": {"version": 1, "full": True,
                   "servers": [server.entry() for server in self.log_servers]}}  # fmt: skip
         document = self.document = {
@@ -42,7 +42,7 @@
         self.file = file.name
         self.addCleanup(os.unlink, file.name)
         environment = {"LB_CONFIG": file.name, "LB_LISTEN": f"127.0.0.1:{self.port}", **self.environment()}
-        self.program = Process([], environment)
+        self.program = Process([], environment, self.descriptors())
         self.addCleanup(self.program.stop)
         for server in self.log_servers:
             server.accept()
@@ -51,9 +51,15 @@
         self.index = int.from_bytes(self.feed.recv(8), "big")
         self.caller = Caller(self.port)
 
+    def listen_port(self) -> int:
+        return free_port()
+
     def environment(self) -> dict[str, str]:
         return {}
 
+    def descriptors(self) -> tuple[int, ...]:
+        return ()
+
     def set_up(self, call_id: str, dest: int = 0) -> None:
         self.caller.invite(call_id, dest=dest)
         server = self.log_servers[dest]
