Hand connections, open ids and the module's memory to the successor at an upgrade

The two processes now meet over a Unix socket (net/twin.py): list and latest number, ratings and demand (Controller.memory), open ids; at SIGTERM the connections follow by send_fds with their unread bytes, and what the old process still answers is written through the successor. The tests of SuccessionTest fail without the part.

--- a/mallowquay/__main__.py
+++ b/mallowquay/__main__.py
@@ -29,7 +29,7 @@
 from .net.clock import Metronome, UnixTime, monotonic
 from .net.consul import Consul
 from .net.control import serve as serve_control
-from .net.coordinator import Coordinator, read_known
+from .net.coordinator import Coordinator, read_known, read_servers, tell_servers
 from .net.operation import Operation
 from .net.platform_front import PlatformFront
 from .net.platform_servers import PlatformServers
@@ -37,6 +37,7 @@
 from .net.sip.servers import SipServers
 from .net.sip.transactions import Timers, Transactions
 from .net.sip.transport import Transport
+from .net.twin import Twin
 from .net.xds import Endpoints
 from .net.xds import serve as serve_xds
 
@@ -55,7 +56,9 @@
         self.loop = IOLoop.current()
         self.done = asyncio.Event()
         self.stopped_at: timedelta | None = None
+        self._handing: asyncio.Future[None] | None = None
         self.operation = Operation(monotonic)
+        self.twin = Twin(self.loop)
         decisions = self.decisions = Decisions(settings.settings, settings.seed, monotonic)
         self.calls = Calls(
             decisions, monotonic, settings.release_wait, settings.guard_margin, settings.default_gap,
@@ -76,8 +79,9 @@
         self.calls.attach(servers)
         most = self.config.sockets - config.SOCKETS_KEPT
         front = self.front = PlatformFront(
-            self.calls, monotonic, self.config.classes, self.config.end_margin, most, self.operation
-        )
+            self.calls, monotonic, self.config.classes, self.config.end_margin, most, self.operation,
+            self.twin,
+        )  # fmt: skip
         self.members = lambda: len(servers.servers)
         self.unreadable = lambda: front.bad_messages + servers.unreadable
         front.stray_release = servers.release_stray
@@ -89,12 +93,19 @@
             self.operation.list_known = True
 
         unix = UnixTime()
+        self.calls.opened, self.calls.closed = self.twin.taken, self.twin.over
         try:
             index, events = read_known(platform.known, unix)
+            before = self.twin.state
+            if before is not None and before["index"] >= index:
+                index, events = before["index"], [read_servers(before["servers"], unix)]
         except (KeyError, TypeError, ValueError, AttributeError) as fault:
             raise ConfigError(f"known: {type(fault).__name__}: {fault}") from fault
         for event in events:
             told(event)
+        if before is not None:
+            self.decisions.remember(before["module"])
+            front.answered.add_all(before["answered"])
         self.coordinator = Coordinator(platform.coordinator, index, unix, told)
         servers.spawn(self.coordinator.follow())
         self._reload = self._reload_platform
@@ -105,6 +116,14 @@
             self.listeners = [inherited_listener(platform.inherited, platform.listen)]
         front.add_sockets(self.listeners)
         self.operation.listening = True
+        self.twin.tells = lambda: {
+            "index": self.coordinator.index,
+            "servers": tell_servers(servers.servers.values(), unix),
+            "module": self.decisions.memory(),
+            "ids": self.calls.open_ids(),
+            "answered": front.answered.ids(),
+        }
+        self.twin.send("serves")
         log.info("%s serves at %s:%d", platform.name, host, port)
 
     def start_sip(self, sip: SipConfig) -> None:
@@ -192,11 +211,22 @@
         log.info("stopping with %d calls unanswered", self.calls.unanswered)
         self.stopped_at = monotonic()
         self.operation.stop()
+        self.twin.closing = True
+        if isinstance(self.front, PlatformFront) and self.twin.succeeded:
+            log.info("the successor takes the connections")
+            self._handing = asyncio.ensure_future(self.front.hand_over())
         self._look()
 
     def _look(self) -> None:
         assert self.stopped_at is not None
         quiet_since = max(self.stopped_at + STOP_ACCEPTS, self.calls.last_offer + STOP_LOOKS)
+        if self.twin.succeeded:  # what is open here stays until its end
+            handed = self._handing is not None and self._handing.done()
+            if handed and self.calls.pending == 0 and self.twin.settled:
+                self.done.set()
+            else:
+                self.loop.add_timeout(STOP_LOOKS, self._look)
+            return
         settled = self.front is None or self.front.settled()
         if monotonic() >= quiet_since and self.calls.unanswered == 0 and settled:
             self.done.set()
@@ -233,6 +263,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, program.stop)
     if settings.platform is not None:
+        if settings.platform.inherited is not None and settings.platform.meeting:
+            host, port = settings.platform.listen
+            await program.twin.meet(settings.platform.meeting, f"{host}-{port}")
         program.start_platform(settings.platform)
     if settings.sip is not None:
         program.start_sip(settings.sip)
--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -101,6 +101,8 @@
         self._order = count()
         self._jobs: deque[Job] = deque()
         self._running = False
+        self.opened: Callable[[str], None] = lambda request_id: None  # told of each call taken
+        self.closed: Callable[[str], None] = lambda request_id: None  # and of each that is over
         self.unanswered = 0
         self.last_offer = clock()
         self.wake: Callable[[], None] = lambda: None  # told when the next due time may have changed
@@ -114,6 +116,10 @@
         """Requests taken and not ended: unanswered, or answered with a call that stands."""
         return len(self._calls)
 
+    def open_ids(self) -> list[str]:
+        """The ids of all requests that are pending."""
+        return list(self._calls)
+
     def get(self, request_id: str) -> Call | None:
         """The call of this id, while anything is open or stands."""
         return self._calls.get(request_id)
@@ -140,6 +146,7 @@
         call = self._calls[request.id] = Call(request, caller)
         self.unanswered += 1
         self.last_offer = self._clock()
+        self.opened(request.id)
         # Guards the one answer should the module stay silent; its own end margin comes sooner.
         self._at(request.deadline - self._margin, lambda: self._overdue(call))
         self._do(lambda: _as_list(self._decisions.pick(request)))
@@ -334,16 +341,20 @@
         call.state, call.attempt = CallState.OVER, None
         self.unanswered -= 1
         self.figures.ended(call.request.class_name, answer.verdict)
-        del self._calls[call.request.id]
+        self._remove(call)
         call.caller.answer(call, answer)
 
     def _over(self, call: Call) -> Attempt:
         attempt = call.attempt
         assert attempt is not None
         call.state, call.attempt = CallState.OVER, None
-        del self._calls[call.request.id]
+        self._remove(call)
         return attempt
 
+    def _remove(self, call: Call) -> None:
+        del self._calls[call.request.id]
+        self.closed(call.request.id)
+
 
 # Endings after which a call may go on at once: a whole answer, or proof that nothing ran.
 NO_RELEASE_WAIT = frozenset(
--- a/mallowquay/core/decisions.py
+++ b/mallowquay/core/decisions.py
@@ -8,6 +8,7 @@
 import heapq
 import logging
 from datetime import timedelta
+from typing import Any
 
 from quincestand import (
     Action,
@@ -161,6 +162,14 @@
             Rating(name, LEVELS[level], takes) for name, level, takes in self._controller.ratings(self._now())
         ]
 
+    def memory(self) -> dict[str, Any]:
+        """What the module knows that a successor is to go on from: plain values, on this machine's clock."""
+        return self._controller.memory()
+
+    def remember(self, memory: dict[str, Any]) -> None:
+        """Go on from the memory of the process before; the list has been told."""
+        self._controller.remember(self._now(), memory)
+
     def avoided(self) -> int:
         """How many log servers of the list the module sends nothing to now."""
         return self._controller.avoided(self._now())
--- a/mallowquay/net/clock.py
+++ b/mallowquay/net/clock.py
@@ -26,6 +26,11 @@
         return timedelta(milliseconds=unix_ms) - self._offset if unix_ms else None
 
 
+    def milliseconds(self, point: timedelta | None) -> int:
+        """The Unix milliseconds of a point that `point` gave."""
+        return 0 if point is None else round((point + self._offset) / timedelta(milliseconds=1))
+
+
 class Metronome:
     """Calls Calls.tick when something is due: one timer of the loop at a time."""
 
--- a/mallowquay/net/coordinator.py
+++ b/mallowquay/net/coordinator.py
@@ -6,7 +6,7 @@
 import logging
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Any
 
@@ -72,6 +72,26 @@
     return int(known.get("index", 0)), events
 
 
+def tell_servers(servers: Iterable[Server], unix: UnixTime) -> list[dict[str, Any]]:
+    """The list for a successor, in the form of `known`."""
+    words = {status: word for word, status in WORDS.items()}
+    return [
+        {
+            "id": server.id,
+            "addr": "{}:{}".format(*server.address),
+            "cell": server.number,
+            "state": words[server.status],
+            "started_ms": unix.milliseconds(server.started),
+        }
+        for server in servers
+    ]
+
+
+def read_servers(entries: list[dict[str, Any]], unix: UnixTime) -> ListTold:
+    """The whole list, as the process before tells it."""
+    return ListTold(tuple(_known_server(entry, unix) for entry in entries), whole=True)
+
+
 def _known_server(entry: dict[str, Any], unix: UnixTime) -> Server:
     host, _, port = entry["addr"].rpartition(":")
     status = WORDS[entry["state"]]
--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import json
 import logging
+import socket
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -30,7 +32,7 @@
     write_request,
     write_response,
 )
-from .statuses import NORMAL_CLEARING, platform_status, release_cause
+from .statuses import NORMAL_CLEARING, platform_status, release_cause, release_ending
 from .streams import (
     MESSAGE_MOST,
     WRITE_BUFFER_MOST,
@@ -43,10 +45,13 @@
     gathered_write,
     quiet,
 )
+from .tasks import Tasks
+from .twin import Packet, Twin
 
 log = logging.getLogger(__name__)
 
-MILLISECOND = timedelta(milliseconds=1)
+MICROSECOND, MILLISECOND = timedelta(microseconds=1), timedelta(milliseconds=1)
+HAND_AGAIN = timedelta(milliseconds=20)
 # A connection that has brought no whole message, or half of one, by then is closed: 3 s are allowed.
 MESSAGE_WITHIN = timedelta(milliseconds=2200)
 WATCH_EVERY = timedelta(milliseconds=200)
@@ -71,10 +76,23 @@
         self.bad = 0
         self.closing = False  # what still comes is not for us
         self.reading = False  # nothing has been read that is not taken
+        self.key = 0  # of one that the process before has handed over
+        self.elsewhere: set[str] = set()  # calls of the process before that are open on it
+        self.handed: Callable[[list[bytes]], bool] | None = None  # writes where it has been handed to
+
+    @property
+    def open(self) -> bool:
+        """Whether what is written goes anywhere."""
+        return self.handed is not None or not self.stream.closed()
+
+    @property
+    def busy(self) -> bool:
+        """Whether an answer is due here, or a call stands."""
+        return bool(self.unanswered or self.standing or self.elsewhere)
 
     def write(self, parts: list[bytes]) -> bool:
         """Send a message; False if the connection is gone."""
-        return gathered_write(self.stream, parts)
+        return gathered_write(self.stream, parts) if self.handed is None else self.handed(parts)
 
 
 class PlatformCaller:
@@ -87,8 +105,8 @@
 
     def answer(self, call: Call, answer: FinalAnswer) -> None:
         """Write the final answer on the connection of the set-up."""
-        if call.request.id in self.connection.unanswered and not self.connection.stream.closed():
-            self.front.answered.add(call.request.id)
+        if call.request.id in self.connection.unanswered and self.connection.open:
+            self.front.note_answered(call.request.id)
         self.connection.unanswered.discard(call.request.id)
         extra: list[Header] = []
         if answer.verdict is Verdict.STANDS:
@@ -120,10 +138,11 @@
         end_margin: timedelta,
         most: int,
         operation: Operation,
+        twin: Twin,
     ) -> None:
         super().__init__(max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
         self._calls, self._clock, self._classes = calls, clock, classes
-        self._margin, self._most, self._operation = end_margin, most, operation
+        self._margin, self.most, self._operation = end_margin, most, operation
         self._connections: dict[Connection, None] = {}  # the one heard of last at the end
         self._warn_bad, self._warn_most = Seldom(log, clock), Seldom(log, clock)
         self._watch = PeriodicCallback(self.watch, WATCH_EVERY)
@@ -134,6 +153,22 @@
         # A release of a call that this process never took.
         self.stray_release: Callable[[str, int], None] = lambda call_id, cause: None
         self.bad_messages = 0
+        self._twin = twin
+        self._next_key = 0
+        self._spawn = Tasks().spawn
+        self._handed: dict[int, Connection] = {}  # to the successor, by key
+        self._adopted: dict[int, Connection] = {}  # from the process before
+        twin.connection, twin.gone = self._adopt, self._twin_gone
+        twin.takes.update(
+            write=self._write_adopted,
+            closed=self._handed_closed,
+            over=self._over_elsewhere,
+            answered=lambda told: self.answered.add_all(told["ids"]),
+            cancel=lambda told: self.cancel(told["id"]),
+            bye=lambda told: self.caller_released(told["id"], told["cause"]),
+            down=self._ended_here,
+            release=lambda told: self.send_release(told["id"], told["uri"], told["cause"]),
+        )
 
     def settled(self) -> bool:
         """Nothing is sent again on this wire: what is answered is done."""
@@ -141,14 +176,19 @@
 
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Serve one connection until it closes."""
-        if len(self._connections) >= self._most and not self._make_room():
-            self._warn_most.warning("refused a connection beyond %d", self._most)
+        if len(self._connections) >= self.most and not self._make_room():
+            self._warn_most.warning("refused a connection beyond %d", self.most)
             stream.close()
             return
-        connection = Connection(quiet(stream), self._clock())
+        await self._serve(Connection(quiet(stream), self._clock()))
+
+    async def _serve(self, connection: Connection) -> None:
+        stream = connection.stream
         stream.max_write_buffer_size = WRITE_BUFFER_MOST
         self._connections[connection] = None
         try:
+            if connection.key:  # what came to the process before, and was not whole there
+                self._take(connection)
             while True:
                 connection.reading = True
                 await fill(stream, connection.buffer)
@@ -169,8 +209,10 @@
             await close_gently(stream)
         finally:
             self._connections.pop(connection, None)
-            stream.close()
-            self._give_up(connection)
+            if connection.handed is None:
+                stream.close()
+                self._give_up(connection)
+                self._adopted_closed(connection)
 
     def _give_up(self, connection: Connection) -> None:
         """Nobody is left to answer, or will be: no work for nothing, and nothing may come to stand."""
@@ -184,7 +226,7 @@
         came just now may have its first request on the way, so it goes last.
         """
         grace = self._clock() - NEW_FOR
-        idle = [known for known in self._connections if not known.unanswered and not known.standing]
+        idle = [known for known in self._connections if not known.busy]
         if not idle:
             return False
         old = [known for known in idle if known.closing or (not known.spoke and known.opened_at <= grace)]
@@ -202,7 +244,7 @@
         """
         if not self._operation.closing or connection not in self._connections:
             return
-        if connection.unanswered or connection.standing:
+        if connection.busy:
             return
         buffer = connection.buffer
         if connection.reading and buffer.start == buffer.end and at_rest(connection.stream):
@@ -210,13 +252,106 @@
             del self._connections[connection]
             finish_writing(connection.stream)
 
+    # --- an upgrade
+
+    async def hand_over(self) -> None:
+        """Accept no more, and hand each connection to the successor at a message boundary of ours."""
+        self.stop()
+        quiet_turns = 0
+        while quiet_turns < 2 and self._twin.succeeded:  # what was accepted just now is to come up
+            for connection in list(self._connections):
+                self._hand(connection)
+            quiet_turns = 0 if self._connections else quiet_turns + 1
+            await asyncio.sleep(HAND_AGAIN.total_seconds())
+
+    def _hand(self, connection: Connection) -> None:
+        stream, buffer = connection.stream, connection.buffer
+        if not connection.reading or not stream.reading() or stream.writing() or stream.closed():
+            return  # in a moment
+        key = self._next_key = self._next_key + 1
+        since = connection.waiting_since
+        self._twin.send(
+            "connection",
+            stream.socket.fileno(),
+            key=key,
+            rest=base64.b64encode(buffer.data[buffer.start : buffer.end]).decode(),
+            open=sorted(connection.unanswered | connection.standing),
+            spoke=connection.spoke,
+            bad=connection.bad,
+            waiting=None if since is None else since // MICROSECOND,
+        )
+
+        def write(parts: list[bytes]) -> bool:
+            self._twin.send("write", key=key, data=base64.b64encode(b"".join(parts)).decode())
+            return True
+
+        connection.handed = write
+        self._handed[key] = connection
+        del self._connections[connection]
+        stream.close()  # the successor has it: nothing is shut down
+
+    def _handed_closed(self, told: Packet) -> None:
+        """A connection that was handed over has closed there."""
+        connection = self._handed.pop(told["key"], None)
+        if connection is not None:
+            connection.handed = None
+            connection.standing.clear()
+            self._give_up(connection)
+
+    def _adopt(self, told: Packet, descriptor: int) -> None:
+        """A connection of the process before."""
+        sock = socket.socket(fileno=descriptor)
+        sock.setblocking(False)
+        stream = IOStream(sock, max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
+        connection = Connection(stream, self._clock())
+        connection.buffer.put(base64.b64decode(told["rest"]))
+        connection.key, connection.elsewhere = told["key"], set(told["open"]) & self._twin.ids
+        connection.spoke, connection.bad = told["spoke"], told["bad"]
+        connection.waiting_since = None if told["waiting"] is None else told["waiting"] * MICROSECOND
+        self._adopted[connection.key] = connection
+        self._spawn(self._serve(connection))
+
+    def _adopted_closed(self, connection: Connection) -> None:
+        if self._adopted.pop(connection.key, None) is not None:
+            self._twin.send("closed", key=connection.key)
+
+    def _write_adopted(self, told: Packet) -> None:
+        connection = self._adopted.get(told["key"])
+        if connection is not None:
+            connection.write([base64.b64decode(told["data"])])
+
+    def _over_elsewhere(self, told: Packet) -> None:
+        self.over.add(told["id"])
+        for connection in self._adopted.values():
+            connection.elsewhere.discard(told["id"])
+
+    def note_answered(self, call_id: str) -> None:
+        """The id has had its final answer: it does not come again, here or in the other process."""
+        self.answered.add(call_id)
+        self._twin.send("answered", ids=[call_id])
+
+    def _ended_here(self, told: Packet) -> None:
+        """The other process heard from a log server that a call which stands here is over."""
+        call = self._calls.get(told["id"])
+        if call is not None and call.state is CallState.STANDING and call.attempt is not None:
+            self._calls.ended(call.attempt, release_ending(told["cause"]))
+
+    def _twin_gone(self) -> None:
+        """The other process has ended: nothing more comes of what was open there."""
+        for connection in self._adopted.values():
+            connection.elsewhere.clear()
+        self._adopted.clear()
+        for key in list(self._handed):
+            self._handed_closed({"key": key})
+
     def watch(self) -> None:
         """Close connections whose next message does not get whole, and all while callers are sent away."""
         now = self._clock()
         for connection in list(self._connections):
             self.leave(connection)
             since = connection.waiting_since
-            if since is not None and now - since >= MESSAGE_WITHIN and not connection.unanswered:
+            due = connection.unanswered or connection.elsewhere
+            if since is not None and now - since >= MESSAGE_WITHIN and not due:
                 connection.closing = True
                 connection.stream.close()
 
@@ -284,11 +419,15 @@
     def _invite(self, connection: Connection, message: Message, call_id: str) -> None:
         request = self._to_request(message, call_id)
         known = self._calls.get(call_id)
+        if call_id in connection.elsewhere:
+            return  # sent again as it was: the process before answers it
+        if call_id in self._twin.ids:
+            raise BadMessage(482, "the id is taken", message)
         if known is None and not self.answered.holds(call_id) and self._operation.refusing:
             gap = ("P-Gap-Ms", str(AWAY_GAP // MILLISECOND))
             connection.write(write_response(503, copied_headers(message), [gap]))
             self._calls.turn_away(request)
-            self.answered.add(call_id)
+            self.note_answered(call_id)
             self.leave(connection)
         elif known is None and not self.answered.holds(call_id):
             # One whose connection closed before its answer may come again, on another connection.
@@ -338,9 +477,16 @@
         )
 
     def _cancel(self, connection: Connection, message: Message, call_id: str) -> None:
+        known = self._calls.get(call_id) is not None or call_id in self._twin.ids
+        self._reply(connection, message, 200 if known else 481)
+        self.cancel(call_id)
+
+    def cancel(self, call_id: str) -> None:
+        """A caller gives a set-up up, here or in the other process."""
         call = self._calls.get(call_id)
-        self._reply(connection, message, 481 if call is None else 200)
         if call is None:
+            if call_id in self._twin.ids:
+                self._twin.send("cancel", id=call_id)
             return
         self.over.add(call_id)
         if not self._calls.caller_left(call_id) and call.state is CallState.STANDING:
@@ -352,19 +498,27 @@
     def _bye(self, connection: Connection, message: Message, call_id: str) -> None:
         cause = q850_cause(message.get("Reason"), NORMAL_CLEARING)
         self._reply(connection, message, 200)
+        self.caller_released(call_id, cause)
+
+    def caller_released(self, call_id: str, cause: int) -> None:
+        """A caller ends a call that stands, here or in the other process."""
         call = self._calls.get(call_id)
         if call is not None and self._calls.caller_released(call_id, cause):
             self.over.add(call_id)
             if isinstance(call.caller, PlatformCaller):
                 call.caller.connection.standing.discard(call_id)
-        elif not self.over.holds(call_id) and self._calls.get(call_id) is None:
+        elif call is None and call_id in self._twin.ids:
+            self._twin.send("bye", id=call_id, cause=cause)
+        elif not self.over.holds(call_id) and call is None:
             # It may stand since before this process started.
             self.over.add(call_id)
             self.stray_release(call_id, cause)
 
     def stray_ended(self, call_id: str, cause: int) -> None:
         """A log server ended a call that this process does not hold: a process before it may have."""
-        if not self.over.holds(call_id):
+        if call_id in self._twin.ids:
+            self._twin.send("down", id=call_id, cause=cause)
+        elif not self.over.holds(call_id):
             self.send_release(call_id, f"sip:{call_id}@net", cause)
 
     def send_release(self, call_id: str, uri: str, cause: int, first: Connection | None = None) -> None:
@@ -377,11 +531,14 @@
             ("Reason", f"Q.850;cause={cause}"),
         ]
         parts = write_request("BYE", uri, headers)
-        if first is not None and first in self._connections and first.write(parts):
+        if first is not None and (first.handed or first in self._connections) and first.write(parts):
             return
         for connection in reversed(self._connections):  # not on one of a crowd that says nothing
             if connection.spoke and connection is not first and connection.write(parts):
                 return
+        if self._twin.succeeded:  # all connections have gone there
+            self._twin.send("release", id=call_id, uri=uri, cause=cause)
+            return
         while len(self._unsent) >= 1024:
             self._unsent.pop(next(iter(self._unsent)))
         self._unsent[call_id] = parts
--- a/mallowquay/net/recent.py
+++ b/mallowquay/net/recent.py
@@ -17,6 +17,15 @@
         if len(self._ids) > self._most:
             del self._ids[next(iter(self._ids))]
 
+    def add_all(self, names: list[str]) -> None:
+        """Remember several, the oldest first."""
+        for name in names:
+            self.add(name)
+
+    def ids(self) -> list[str]:
+        """All that are remembered, the oldest first."""
+        return list(self._ids)
+
     def holds(self, name: str) -> bool:
         """Whether the id was met lately."""
         return name in self._ids
--- /dev/null
+++ b/mallowquay/net/twin.py
@@ -0,0 +1,264 @@
+"""Upgrades: two processes of one gatekeeper meet over a Unix socket and act as one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import socket
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from tornado.ioloop import IOLoop
+
+log = logging.getLogger(__name__)
+
+PIECE_MOST = 64 * 1024  # a longer packet goes in pieces
+WAITING_MOST = 8 * 1024 * 1024  # bytes that the other process has yet to read; then it is taken as dead
+PACKETS_AT_ONCE = 64  # then other work gets its turn
+DESCRIPTORS_MOST = 4
+MEET_WITHIN = timedelta(seconds=2)
+PATH_MOST = 100  # a Unix socket's name has room for 108 bytes
+LAST, MORE = b".", b"+"  # the first byte of a piece
+
+Packet = dict[str, Any]
+
+
+class Wire:
+    """Packets between the two, in order, with descriptors beside them."""
+
+    def __init__(
+        self,
+        loop: IOLoop,
+        sock: socket.socket,
+        take: Callable[[Packet, list[int]], None],
+        lost: Callable[[], None],
+    ) -> None:
+        self._loop, self._sock, self._take, self._lost = loop, sock, take, lost
+        self._waiting: deque[tuple[bytes, int | None]] = deque()
+        self._waiting_bytes = 0
+        self._text, self._descriptors = bytearray(), list[int]()
+        self.alive = True
+        sock.setblocking(False)
+        loop.add_handler(sock, self._ready, IOLoop.READ)
+
+    @property
+    def settled(self) -> bool:
+        """Whether all that was sent has left."""
+        return not self.alive or not self._waiting
+
+    def send(self, packet: Packet, descriptor: int | None = None) -> None:
+        """Send a packet; the descriptor is copied and may be closed at once."""
+        if not self.alive:
+            return
+        text = json.dumps(packet, separators=(",", ":")).encode()
+        pieces = [text[at : at + PIECE_MOST] for at in range(0, len(text), PIECE_MOST)]
+        for number, piece in enumerate(pieces, 1):
+            last = number == len(pieces)
+            copy = os.dup(descriptor) if last and descriptor is not None else None
+            self._waiting.append(((LAST if last else MORE) + piece, copy))
+            self._waiting_bytes += len(piece)
+        self._write()
+        if self._waiting_bytes > WAITING_MOST:
+            log.error("the other process does not read: it is taken as dead")
+            self.close()
+
+    def _write(self) -> None:
+        try:
+            while self._waiting:
+                data, descriptor = self._waiting[0]
+                if descriptor is None:
+                    self._sock.send(data)
+                else:
+                    socket.send_fds(self._sock, [data], [descriptor])
+                    os.close(descriptor)
+                self._waiting.popleft()
+                self._waiting_bytes -= len(data) - 1
+        except BlockingIOError:
+            pass
+        except OSError as fault:
+            log.info("the other process: %s", fault)
+            self.close()
+            return
+        self._loop.update_handler(self._sock, IOLoop.READ | (IOLoop.WRITE if self._waiting else 0))
+
+    def _ready(self, sock: object, events: int) -> None:
+        if events & IOLoop.WRITE:
+            self._write()
+        for _ in range(PACKETS_AT_ONCE):
+            if not self.alive:
+                return
+            try:
+                data, descriptors, _, _ = socket.recv_fds(self._sock, PIECE_MOST + 1, DESCRIPTORS_MOST)
+            except BlockingIOError:
+                return
+            except OSError:
+                data, descriptors = b"", []
+            self._descriptors += descriptors
+            if not data:
+                self.close()
+                return
+            self._text += data[1:]
+            if data[:1] == LAST:
+                text, self._text = self._text, bytearray()
+                brought, self._descriptors = self._descriptors, []
+                self._packet(text, brought)
+
+    def _packet(self, text: bytearray, descriptors: list[int]) -> None:
+        try:
+            self._take(json.loads(text), descriptors)
+        except (ValueError, KeyError, TypeError, OSError) as fault:  # another version may say other things
+            log.error("a packet of the other process cannot be used: %s: %s", type(fault).__name__, fault)
+
+    def close(self) -> None:
+        """The other process is gone, or is to be left."""
+        if not self.alive:
+            return
+        self.alive = False
+        self._loop.remove_handler(self._sock)
+        self._sock.close()
+        for descriptor in self._descriptors + [copy for _, copy in self._waiting if copy is not None]:
+            os.close(descriptor)
+        self._waiting.clear()
+        self._lost()
+
+
+class Twin:
+    """The other process of an upgrade, for as long as it lives; what the two tell each other."""
+
+    def __init__(self, loop: IOLoop) -> None:
+        self._loop, self._path = loop, ""
+        self._listener: socket.socket | None = None
+        self._wire: Wire | None = None
+        self._heard = asyncio.Event()
+        self.ids: set[str] = set()  # requests that are open there
+        self.state: Packet | None = None  # what the process before had to tell
+        self.tells: Callable[[], Packet] = dict
+        self.takes: dict[str, Callable[[Packet], None]] = {}  # by the kind of packet
+        self.connection: Callable[[Packet, int], None] = lambda packet, descriptor: os.close(descriptor)
+        self.met: Callable[[], None] = lambda: None
+        self.gone: Callable[[], None] = lambda: None
+        self.succeeded = False  # the other one is younger, and serves
+        self.closing = False  # this one ends: it is no one to meet
+
+    @property
+    def alive(self) -> bool:
+        """Whether there are two."""
+        return self._wire is not None and self._wire.alive
+
+    @property
+    def settled(self) -> bool:
+        """Whether all that was said has left."""
+        return self._wire is None or self._wire.settled
+
+    def send(self, kind: str, descriptor: int | None = None, **values: Any) -> None:
+        """Tell the other process, if there is one."""
+        if self._wire is not None:
+            self._wire.send({"t": kind, **values}, descriptor)
+
+    async def meet(self, folder: str, name: str) -> None:
+        """Find the process before and hear its state, or be the first."""
+        self._path = os.path.join(folder, f"mallowquay-{name}")
+        if len(self._path.encode()) > PATH_MOST:
+            log.warning("no meeting at an upgrade: the name is too long: %s", self._path)
+            return
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        try:
+            sock.settimeout(MEET_WITHIN.total_seconds())
+            sock.connect(self._path)
+        except OSError as fault:  # nobody, or a stale file
+            sock.close()
+            log.info("no process to succeed: %s", fault.strerror or fault)
+            self._listen()
+            return
+        self._wire = Wire(self._loop, sock, self._take, self._lost)
+        self.send("hello")
+        try:
+            async with asyncio.timeout(MEET_WITHIN.total_seconds()):
+                await self._heard.wait()
+        except TimeoutError:
+            log.error("the process before says nothing: it is not waited for")
+            self._wire.close()
+
+    def _listen(self) -> None:
+        """Be found by the next process: under the name at once, whatever file was there."""
+        if self._listener is not None:
+            return
+        own = f"{self._path}-{os.getpid()}"
+        listener = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        try:
+            if os.path.lexists(own):
+                os.unlink(own)
+            listener.bind(own)
+            os.chmod(own, 0o600)
+            listener.listen(4)
+            os.rename(own, self._path)
+        except OSError as fault:
+            log.warning("an upgrade will not find this process: %s", fault)
+            listener.close()
+            return
+        listener.setblocking(False)
+        self._listener = listener
+        self._loop.add_handler(listener, self._accept, IOLoop.READ)
+
+    def _accept(self, listener: object, events: int) -> None:
+        assert self._listener is not None
+        try:
+            sock, _ = self._listener.accept()
+        except OSError:
+            return
+        if self.alive or self.closing:  # one successor at a time
+            sock.close()
+            return
+        self._wire = Wire(self._loop, sock, self._take, self._lost)
+
+    def _take(self, packet: Packet, descriptors: list[int]) -> None:
+        kind = packet["t"]
+        if kind == "connection":
+            for descriptor in descriptors[1:]:
+                os.close(descriptor)
+            self.connection(packet, descriptors[0])
+            return
+        for descriptor in descriptors:
+            os.close(descriptor)
+        if kind == "hello":
+            self.met()
+            self.send("state", **self.tells())
+        elif kind == "state":
+            self.state = packet
+            self.ids.update(packet["ids"])
+            self._heard.set()
+        elif kind == "serves":
+            log.info("the successor serves")
+            self.succeeded = True
+        elif kind == "taken":
+            self.ids.add(packet["id"])
+        elif kind == "over":
+            self.ids.discard(packet["id"])
+            self.takes["over"](packet)
+        elif kind in self.takes:
+            self.takes[kind](packet)
+
+    def _lost(self) -> None:
+        """It has ended or died: this one goes on alone."""
+        log.info("the other process is gone")
+        self._wire = None
+        self.succeeded = False
+        self._heard.set()
+        self.ids.clear()
+        self.gone()
+        if not self.closing:
+            self._listen()
+
+    def taken(self, call_id: str) -> None:
+        """A request was taken here."""
+        if self._wire is not None:
+            self.send("taken", id=call_id)
+
+    def over(self, call_id: str) -> None:
+        """A request taken here is over."""
+        if self._wire is not None:
+            self.send("over", id=call_id)
--- a/quincestand/logic.py
+++ b/quincestand/logic.py
@@ -76,6 +76,17 @@
 OVER_SHARE_RESERVE = 0.5  # part of the bucket kept from calls that are cut first
 LOG_EVERY = 5 * SECOND  # a log line about one server at most this often
 
+# What a successor goes on from: of the controller, and of its view of each server.
+KEPT_OWN = ("last_clean", "part", "demand", "demand_at", "demand_seen", "standing", "hold", "lines_cut_at",
+            "lossy_until")  # fmt: skip
+KEPT_OF_VIEW = (
+    "state returns capped cut clean_share offered_rate clean_rate pass_until full_until cold_since "
+    "cold_until cold_next reset_at last_delay answered_at lost_in_row faults_in_row free lines in_use "
+    "lines_at hold told_at told_gap flow turnover can_take can_take_at capacity bucket.rate "
+    "bucket.level bucket.at spare.rate spare.level spare.at delay_state.state delay_state.crossings "
+    "loss_state.state loss_state.crossings "
+).split()
+
 
 class Pace:
     """The spans that are shorter where the tightest aim is."""
@@ -168,6 +179,19 @@
         self.logged_at = -LOG_EVERY
         self.new_cycle(now)
 
+    def memory(self) -> dict[str, Any]:
+        """All but the calls there."""
+        return {path: getattr(*self._place(path)) for path in KEPT_OF_VIEW}
+
+    def remember(self, memory: dict[str, Any]) -> None:
+        """As the process before saw it."""
+        for path in KEPT_OF_VIEW:
+            setattr(*self._place(path), memory[path])
+
+    def _place(self, path: str) -> tuple[Any, str]:
+        part, _, name = path.rpartition(".")
+        return (getattr(self, part) if part else self), name
+
     def new_cycle(self, now: int) -> None:
         """Forget the counts of the last cycle."""
         self.cycle_at, self.offered, self.clean, self.lost = now, 0, 0, 0
@@ -377,6 +401,20 @@
         return sum(not view.usable() or view.silent or now < max(view.pass_until, view.full_until)
                    or not view.cold_room(now) for view in listed)  # fmt: skip
 
+    def memory(self) -> dict[str, Any]:
+        """What a successor on the same clock is to know: ratings, caps, capacities, demand. Plain values."""
+        return {"own": {name: getattr(self, name) for name in KEPT_OWN},
+                "servers": {server: view.memory() for server, view in self.servers.items()}}  # fmt: skip
+
+    def remember(self, now: int, memory: dict[str, Any]) -> None:
+        """Go on from the memory of the process before, once the list has been told."""
+        self.started = True
+        self.__dict__.update({name: memory["own"][name] for name in KEPT_OWN})
+        self.review_at = now + self.random.randrange(self.pace.review)
+        for server, kept in memory["servers"].items():
+            if server in self.servers:
+                self.servers[server].remember(kept)
+
     # --- server list and reports
 
     def _server_list(self, now: int, event: ServerList) -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import tempfile
 
@@ -41,6 +42,141 @@
         return second
 
 
+class SuccessionTest(UpgradeCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.first_links = [server.sock for server in self.log_servers]
+
+    def upgrade(self) -> Process:
+        """A successor that serves, and whose links the log servers' stand-ins use from here on."""
+        second = self.succeed()
+        self.program.wait_for("the successor serves")
+        self.heard = [server.kept for server in self.log_servers]
+        for server in self.log_servers:
+            server.accept()
+        return second
+
+    def on_first_link(self) -> None:
+        """Log server 0 speaks on its connection to the first process again."""
+        self.log_servers[0].sock, self.log_servers[0].kept = self.first_links[0], b""
+
+    def test_connections_go_over_with_what_is_open_on_them(self) -> None:
+        self.set_up("00000000000000a1")
+        other = Caller(self.port)
+        other.invite("00000000000000a2")
+        self.log_servers[0].read()
+        half = Caller(self.port)
+        half.sock.sendall(b"OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: ")
+        self.upgrade()
+        self.program.terminate()
+        self.program.wait_for("the successor takes the connections")
+        half.sock.sendall(b"x\r\nContent-Length: 0\r\n\r\n")  # begun in one process, whole in the other
+        self.assertEqual(half.read()[""], "SIP/2.0 200 OK")
+        half.invite("00000000000000a3")  # a new call is the successor's
+        self.assertEqual(self.log_servers[0].read()["ref"], "00000000000000a3")
+        self.log_servers[0].say("up", "00000000000000a3", text="answer")
+        self.assertEqual(half.read()[""], "SIP/2.0 200 OK")
+        other.invite("00000000000000a2")  # a copy is silent; a set-up under an id of the other is refused
+        half.invite("00000000000000a1")
+        self.assertTrue(half.read()[""].startswith("SIP/2.0 482"))
+        self.assertTrue(self.log_servers[0].silent())
+        self.on_first_link()  # the process before answers what it took, on the connection that it gave away
+        self.log_servers[0].say("up", "00000000000000a2", text="answer")
+        self.assertEqual(other.read()[""], "SIP/2.0 200 OK")
+        self.log_servers[0].say("down", "00000000000000a1", cause=16)
+        self.assertEqual(self.caller.read()["call-id"], "00000000000000a1")
+        other.send("BYE", "00000000000000a2", "Reason: Q.850;cause=16")  # reaches the other process
+        self.assertEqual(other.read()[""], "SIP/2.0 200 OK")
+        self.assertEqual(self.log_servers[0].read()["ref"], "00000000000000a1")  # its release was heard
+        self.assertEqual(self.log_servers[0].read(),
+                         {"t": "down", "ref": "00000000000000a2", "f": {}, "c": 16})  # fmt: skip
+        self.assertEqual(self.program.process.wait(WAIT), 0)  # nothing is open there any more
+        for caller in (self.caller, other, half):
+            caller.send("OPTIONS", "p")
+            self.assertEqual(caller.read()[""], "SIP/2.0 200 OK")
+
+    def test_a_release_and_a_cancel_reach_the_process_that_holds_the_call(self) -> None:
+        self.set_up("00000000000000b1")
+        self.caller.invite("00000000000000b2")
+        self.log_servers[0].read()
+        self.upgrade()
+        self.program.terminate()
+        self.program.wait_for("the successor takes the connections")
+        self.log_servers[0].say("down", "00000000000000b1", cause=16)  # on the successor's link
+        self.assertEqual(self.log_servers[0].read()["t"], "ack")
+        self.assertEqual(self.caller.read()["call-id"], "00000000000000b1")
+        self.caller.send("CANCEL", "00000000000000b2")
+        answers = sorted(self.caller.read()[""] for _ in range(2))
+        self.assertEqual(answers, ["SIP/2.0 200 OK", "SIP/2.0 487 Request Terminated"])
+        self.on_first_link()
+        self.assertEqual(self.log_servers[0].read(),
+                         {"t": "down", "ref": "00000000000000b2", "f": {}, "c": 16})  # fmt: skip
+
+    def test_a_caller_that_leaves_the_successor_ends_its_call_in_the_other(self) -> None:
+        self.caller.invite("00000000000000c1")
+        self.log_servers[0].read()
+        self.upgrade()
+        self.program.terminate()
+        self.program.wait_for("the successor takes the connections")
+        self.caller.sock.close()
+        self.on_first_link()
+        self.assertEqual(self.log_servers[0].read(),
+                         {"t": "down", "ref": "00000000000000c1", "f": {}, "c": 16})  # fmt: skip
+        self.assertEqual(self.program.process.wait(WAIT), 0)
+
+    def test_the_first_is_killed_and_the_successor_serves_on(self) -> None:
+        self.set_up("00000000000000d1")
+        second = self.upgrade()
+        self.program.terminate()
+        self.program.wait_for("the successor takes the connections")
+        self.assertIsNone(self.program.process.poll())  # it stays while its call stands
+        self.program.process.kill()
+        second.wait_for("the other process is gone")
+        self.set_up("00000000000000d2")
+        self.log_servers[0].say("down", "00000000000000d1", cause=16)
+        self.assertEqual(self.log_servers[0].read()["t"], "ack")
+        self.assertEqual(self.caller.read()["call-id"], "00000000000000d1")
+        self.caller.send("BYE", "00000000000000d2")
+        self.assertEqual(self.caller.read()[""], "SIP/2.0 200 OK")
+        third = self.succeed()  # a further upgrade finds it
+        second.wait_for("the successor serves")
+        self.assertIsNone(third.process.poll())
+
+    def test_the_successor_is_killed_and_the_first_serves_on(self) -> None:
+        second = self.succeed()
+        self.program.wait_for("the successor serves")
+        second.process.kill()
+        self.program.wait_for("the other process is gone")
+        caller = Caller(self.port)
+        caller.send("OPTIONS", "p")
+        self.assertEqual(caller.read()[""], "SIP/2.0 200 OK")
+        self.program.terminate()
+        self.assertEqual(self.program.process.wait(WAIT), 0)
+
+    def test_the_successor_knows_the_list_that_was_told_last(self) -> None:
+        self.tell(self.log_servers[0], 2)
+        self.caller.invite("00000000000000f1", dest=0)  # told by now: it goes elsewhere
+        self.assertEqual(self.log_servers[1].read()["ref"], "00000000000000f1")
+        self.succeed()
+        self.program.wait_for("the successor serves")
+        feed, _ = self.coordinator.accept()
+        self.assertEqual(int.from_bytes(feed.recv(8), "big"), self.index)
+        self.assertEqual(control_call(self.second_control, "GET", "/stats")[1]["members"], 1)
+
+
+class StaleFileTest(UpgradeCase):
+    def environment(self) -> dict[str, str]:
+        name = f"{self.folder}/mallowquay-127.0.0.1-{self.listen_port()}"
+        if not os.path.lexists(name):
+            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as dead:
+                dead.bind(name)
+        return super().environment()
+
+    def test_a_stale_file_does_not_hinder(self) -> None:
+        self.succeed()
+        self.program.wait_for("the successor serves")
+
+
 class InheritedSocketTest(UpgradeCase):
     def test_a_second_process_serves_beside_the_first(self) -> None:
         self.succeed()
