Take new settings at SIGHUP: classes, effects, attempts; open calls keep their rules

Seen before: fixed_changes left all settings to the next start, Request.call_class was looked up by index at every decision and max_attempts was global (logic._place). The module now takes NewSettings; a call carries its class and number of attempts, and one that may not run twice is never called off to be sent anew (_overtaken). Files are checked whole: true, NaN, text and missing keys are named. RetuneTest and the new faults fail without it.

--- a/mallowquay/__main__.py
+++ b/mallowquay/__main__.py
@@ -76,6 +76,7 @@
     def start_platform(self, platform: PlatformConfig) -> None:
         """Listen for the platform's callers and follow its coordinator."""
         servers = PlatformServers(self.calls, self.loop, monotonic, self.config.connect_timeout)
+        self.servers_side = servers
         self.calls.attach(servers)
         most = self.config.sockets - config.SOCKETS_KEPT
         front = self.front = PlatformFront(
@@ -175,7 +176,9 @@
         """SIGHUP: take from a new file what can change under calls; one that is faulty changes nothing."""
         try:
             settings = read()
+            config.check_reload(self.config, settings)
             self._reload(settings)
+            self._retune(settings)
         except ConfigError as fault:
             self.reload_errors += 1
             log.error("the new configuration is not taken, the one before stays: %s", fault)
@@ -195,13 +198,24 @@
             "config_reload_errors": self.reload_errors,
         }
 
+    def _retune(self, settings: Config) -> None:
+        """All that new settings change, at one moment."""
+        self.decisions.retune(settings.settings)
+        self.calls.retune(settings.release_wait, settings.default_gap)
+        self.calls.figures.name(settings.classes)
+        if isinstance(self.front, PlatformFront):
+            self.front.retune(settings.classes)
+        elif self.front is not None and settings.sip is not None:
+            self.front.retune(settings.classes, settings.sip.default_class)
+        self.config = config.taken(self.config, settings)
+
     def _reload_platform(self, settings: Config) -> None:
         if settings.platform is not None:
             self.coordinator.move(settings.platform.coordinator)
+            self.servers_side.connect_timeout = settings.connect_timeout
 
     def _reload_sip(self, told: Callable[[ListTold], None], settings: Config) -> None:
-        if settings.sip is None or settings.consul is not None:
-            raise ConfigError("servers: the source of the list changes at a start only")
+        assert settings.sip is not None
         told(ListTold(settings.sip.servers, whole=True))
 
     def stop(self) -> None:
--- a/mallowquay/config.py
+++ b/mallowquay/config.py
@@ -5,9 +5,10 @@
 import json
 import secrets
 import tomllib
-from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
+from math import isfinite
 from typing import Any
 
 from quincestand import Settings
@@ -24,6 +25,8 @@
 GUARD_MARGIN = timedelta(milliseconds=10)  # and the guard of the core speaks so long before that end
 SOCKETS_KEPT = 64  # descriptors kept for log servers, the coordinator and the program itself
 DEFAULT_SOCKETS = 1024
+SPAN_MOST = 24 * 3600 * 1_000_000  # microseconds; no call waits for longer
+ATTEMPTS_MOST = 1000
 
 
 class ConfigError(Exception):
@@ -105,6 +108,10 @@
     consul: ConsulConfig | None = None
     xds: XdsConfig | None = None
     control: tuple[str, int] | None = None  # the second address
+    keys: dict[str, str] = field(default_factory=dict)  # of the file, but for those of its lists, with kinds
+
+
+AT_START_ONLY = ("seed", "sockets", "consul", "xds", "control", "end_margin", "guard_margin")
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -142,9 +149,23 @@
     return replace(
         common(settings, read_seed(document.get("seed", "0")), sockets, platform=platform),
         control=None if control is None else address(control, "control"),
+        keys=dict(_keys({key: value for key, value in document.items() if key != "known"})),
     )
 
 
+def _keys(table: dict[str, Any], above: str = "") -> Iterator[tuple[str, str]]:
+    for key, value in table.items():
+        yield above + key, _kind(value)
+        if isinstance(value, dict):
+            yield from _keys(value, f"{above}{key}.")
+
+
+def _kind(value: object) -> str:
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        return "a number" if isfinite(value) else "no number"
+    return type(value).__name__
+
+
 def _descriptor(text: str | None) -> int | None:
     if not text:
         return None
@@ -163,6 +184,7 @@
     xds: XdsConfig | None = None,
 ) -> Config:
     """What both fronts share: the module's settings and what is drawn from them."""
+    check_numbers(settings)
     try:
         module = read_settings(flatten(settings))
     except ValueError as fault:
@@ -264,7 +286,8 @@
     xds = _xds(document["xds"]) if "xds" in document else None
     seed = read_seed(document.get("seed") or f"{secrets.randbits(64):x}")
     control = address(want(document, "control", str), "control") if "control" in document else None
-    return replace(common(settings, seed, sockets, sip=sip, consul=consul, xds=xds), control=control)
+    whole_file = common(settings, seed, sockets, sip=sip, consul=consul, xds=xds)
+    return replace(whole_file, control=control, keys=dict(_keys(document)))
 
 
 def _consul(table: Any) -> ConsulConfig:
@@ -364,6 +387,35 @@
     return value
 
 
+def check_numbers(settings: dict[str, Any]) -> None:
+    """Text and truth values that would pass for numbers, and numbers that are none."""
+    limits = want(settings, "limits", dict, "settings.")
+    whole(limits, "mostTries", "settings.limits.", ATTEMPTS_MOST)
+    services = want(settings, "services", list, "settings.")
+    for index, kind in enumerate(services):
+        above = f"settings.services.{index}."
+        for key in ("onTime", "deadline"):
+            whole(kind, key, above, SPAN_MOST)
+        for key in ("worth", "lateWorth"):
+            value = want(kind, key, object, above)
+            if not isinstance(value, int | float) or isinstance(value, bool) or not isfinite(value):
+                raise ConfigError(f"{above}{key} must be a number, not {value!r}")
+        want(kind, "name", str, above)
+        want(kind, "effect", str, above)
+    names = [kind["name"] for kind in services]
+    if len(set(names)) < len(names):
+        raise ConfigError("settings.services: a name is given twice")
+
+
+def whole(table: Any, key: str, above: str, most: int) -> None:
+    """A whole number above 0 and within reason, as a number; 2.0 is written 2."""
+    value = want(table, key, object, above)
+    if isinstance(value, float) and value.is_integer():
+        value = table[key] = int(value)
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 < value <= most:
+        raise ConfigError(f"{above}{key} must be a whole number above 0, not {value!r}")
+
+
 # --- values --------------------------------------------------------------------------------------
 
 
@@ -429,10 +481,25 @@
     return load_operator(arguments[0]) if arguments else load(environment)
 
 
+def check_reload(before: Config, after: Config) -> None:
+    """What a file at SIGHUP must not be: of another front or source, or without a key that was there."""
+    if (before.sip is None) != (after.sip is None) or (before.consul is None) != (after.consul is None):
+        raise ConfigError("servers: the source of the list changes at a start only")
+    for key, kind in before.keys.items():
+        if key not in after.keys:
+            raise ConfigError(f"{key} is missing: the file before had it")
+        if after.keys[key] != kind:
+            raise ConfigError(f"{key} must be {kind}, as in the file before, not {after.keys[key]}")
+
+
+def taken(before: Config, after: Config) -> Config:
+    """What holds after a reload: what changes at a start only stays as it was."""
+    return replace(after, **{name: getattr(before, name) for name in AT_START_ONLY})
+
+
 def fixed_changes(before: Config, after: Config) -> list[str]:
     """The keys whose new values wait for the next start."""
-    pairs = [
-        ("settings", before.settings, after.settings),
+    pairs: list[tuple[str, object, object]] = [
         ("limits.sockets", before.sockets, after.sockets),
         ("consul", before.consul, after.consul),
         ("xds", before.xds, after.xds),
--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -72,11 +72,12 @@
 class Call:
     """One call from its set-up to its end."""
 
-    def __init__(self, request: Request, caller: Caller) -> None:
+    def __init__(self, request: Request, caller: Caller, release_wait: timedelta) -> None:
         self.request, self.caller = request, caller
         self.state = CallState.WAITING
         self.attempt: Attempt | None = None  # the one that is out or stands
         self.not_before = request.taken_at  # no attempt sooner: the release wait
+        self.release_wait = release_wait  # as it was when the call came
         self.lost_time = False  # the last attempt got no answer in time
 
 
@@ -111,6 +112,10 @@
         """Name the side that carries attempts."""
         self._servers = servers
 
+    def retune(self, release_wait: timedelta, default_gap: timedelta) -> None:
+        """Take new settings; calls that are open keep theirs."""
+        self._release_wait, self._gap = release_wait, default_gap
+
     @property
     def pending(self) -> int:
         """Requests taken and not ended: unanswered, or answered with a call that stands."""
@@ -143,7 +148,7 @@
         known = self._calls.get(request.id)
         if known is not None:
             return known
-        call = self._calls[request.id] = Call(request, caller)
+        call = self._calls[request.id] = Call(request, caller, self._release_wait)
         self.unanswered += 1
         self.last_offer = self._clock()
         self.opened(request.id)
@@ -221,7 +226,7 @@
         call.attempt, call.state = None, CallState.WAITING
         call.lost_time = ending is Ending.TIMED_OUT
         if ending not in NO_RELEASE_WAIT:
-            call.not_before = self._clock() + self._release_wait
+            call.not_before = self._clock() + call.release_wait
         self._do(lambda: self._decisions.report(Ended(attempt, ending, False, load or {})))
         return True
 
--- a/mallowquay/core/decisions.py
+++ b/mallowquay/core/decisions.py
@@ -22,6 +22,7 @@
     Fail,
     ListKind,
     Log,
+    NewSettings,
     Outcome,
     Refuse,
     Send,
@@ -162,6 +163,11 @@
             Rating(name, LEVELS[level], takes) for name, level, takes in self._controller.ratings(self._now())
         ]
 
+    def retune(self, settings: Settings) -> None:
+        """Take new settings for calls from now on; what is thought of the log servers stays."""
+        self._settings = settings
+        self._handle(NewSettings(settings))
+
     def memory(self) -> dict[str, Any]:
         """What the module knows that a successor is to go on from: plain values, on this machine's clock."""
         return self._controller.memory()
--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -154,6 +154,7 @@
         self.stray_release: Callable[[str, int], None] = lambda call_id, cause: None
         self.bad_messages = 0
         self._twin = twin
+        self._before: dict[str, ClassConfig] = {}  # classes of files before
         self._next_key = 0
         self._spawn = Tasks().spawn
         self._handed: dict[int, Connection] = {}  # to the successor, by key
@@ -252,6 +253,11 @@
             del self._connections[connection]
             finish_writing(connection.stream)
 
+    def retune(self, classes: dict[str, ClassConfig]) -> None:
+        """Take new classes; calls that are open keep theirs."""
+        self._before |= self._classes
+        self._classes = classes
+
     # --- an upgrade
 
     async def hand_over(self) -> None:
@@ -442,9 +448,13 @@
         # else sent again as it was: it will have its answer
 
     def _to_request(self, message: Message, call_id: str) -> Request:
-        kind = self._classes.get(message.get("P-Kind"))
+        name = message.get("P-Kind")
+        kind = self._classes.get(name)
+        known = self._calls.get(call_id)
+        if kind is None and known is not None and known.request.class_name == name:
+            kind = self._before.get(name)  # a copy of one that is open: its class was dropped meanwhile
         if kind is None:
-            raise BadMessage(400, f"P-Kind names no class: {message.get('P-Kind')[:40]!r}")
+            raise BadMessage(400, f"P-Kind names no class: {name[:40]!r}")
         left = message.number("P-Time-Left")
         budget = kind.deadline if left is None else left * MILLISECOND
         if budget > 2 * kind.deadline:
@@ -546,4 +556,4 @@
 
 def same_call(one: Request, other: Request) -> bool:
     """Whether two set-ups under one id ask for the same."""
-    return all(getattr(one, name) == getattr(other, name) for name in ("number", "call_class", "description"))
+    return all(getattr(one, name) == getattr(other, name) for name in ("number", "class_name", "description"))
--- a/mallowquay/net/sip/front.py
+++ b/mallowquay/net/sip/front.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 
 from tornado.ioloop import PeriodicCallback
@@ -322,6 +323,10 @@
         if leg is not None:
             leg.ack(hop)
 
+    def retune(self, classes: dict[str, ClassConfig], default_class: str) -> None:
+        """Take new classes; calls that are open keep theirs."""
+        self._classes, self._config = classes, replace(self._config, default_class=default_class)
+
     def settled(self) -> bool:
         """Whether every 200 has its ACK: until then a stopping program stays."""
         return all(leg.acknowledged or leg.over for leg in self.dialogs.values())
--- a/quincestand/interface.py
+++ b/quincestand/interface.py
@@ -196,7 +196,16 @@
     report: tuple[float, ...]
 
 
-Event = ServerList | CallOffered | CallStands | AttemptEnded | CallerGone | TimerDue | ServerReport
+@dataclass(frozen=True, slots=True)
+class NewSettings:
+    """The settings change; calls offered before keep their class and number of attempts."""
+
+    settings: Settings
+
+
+Event = (
+    ServerList | CallOffered | CallStands | AttemptEnded | CallerGone | TimerDue | ServerReport | NewSettings
+)
 
 
 # --- actions ----------------------------------------------------------------------------------------
--- a/quincestand/logic.py
+++ b/quincestand/logic.py
@@ -15,9 +15,9 @@
 from typing import Any
 
 from .interface import (
-    Action, AttemptEnded, CallerGone, CallId, CallOffered, CallStands, CancelAttempt, Event, Fail, ListKind,
-    Log, Outcome, Probe, Refuse, Send, ServerEntry, ServerId, ServerList, ServerReport, ServerState, SetTimer,
-    Settings, TimerDue, WatchList,
+    Action, AttemptEnded, CallClass, CallerGone, CallId, CallOffered, CallStands, CancelAttempt, Event, Fail,
+    ListKind, Log, NewSettings, Outcome, Probe, Refuse, Send, ServerEntry, ServerId, ServerList, ServerReport,
+    ServerState, SetTimer, Settings, TimerDue, WatchList,
 )  # fmt: skip
 
 # --- constants --------------------------------------------------------------------------------------
@@ -150,13 +150,12 @@
         self, entry: ServerEntry, now: int, limits: tuple[int, ...], chance: random.Random,
         pace: Pace = Pace(),
     ) -> None:  # fmt: skip
-        self.entry, (l1, l2, lr), self.pace = entry, limits, pace
-        self.delay_state, self.loss_state = Indicator(l1, l2, lr), Indicator(L1_LOSS, L2_LOSS, LR_LOSS)
-        self.l1, self.clean_limit = l1, l2
+        self.entry = entry
+        self.delay_state, self.loss_state = Indicator(*limits), Indicator(L1_LOSS, L2_LOSS, LR_LOSS)
         self.state = self.returns = 0
         self.capped = False  # by its state; `bucket` also guards the last free lines
-        self.bucket = LeakyBucket(chance, pace.bucket)  # for all set-ups
-        self.spare = LeakyBucket(chance, pace.bucket)  # for overflow
+        self.bucket, self.spare = LeakyBucket(chance), LeakyBucket(chance)  # for all set-ups; for overflow
+        self.tune(limits, pace)
         self.cut = 0.0  # X%: part of the offered set-ups above the target
         self.clean_share = 1.0  # of the set-ups that stood
         self.offered_rate = self.clean_rate = 0.0  # first set-ups and clean answers here, last cycle
@@ -179,6 +178,12 @@
         self.logged_at = -LOG_EVERY
         self.new_cycle(now)
 
+    def tune(self, limits: tuple[int, ...], pace: Pace) -> None:
+        """Take thresholds and spans."""
+        self.l1, self.clean_limit, _ = limits
+        self.delay_state.l1, self.delay_state.l2, self.delay_state.lr = limits
+        self.pace, self.bucket.span, self.spare.span = pace, pace.bucket, pace.bucket
+
     def memory(self) -> dict[str, Any]:
         """All but the calls there."""
         return {path: getattr(*self._place(path)) for path in KEPT_OF_VIEW}
@@ -288,8 +293,10 @@
 class Call:
     """A call this gateway owes an answer."""
 
-    def __init__(self, event: CallOffered, now: int, urgent: bool, cut_first: bool) -> None:
-        self.event = event
+    def __init__(
+        self, event: CallOffered, kind: CallClass, most: int, now: int, urgent: bool, cut_first: bool
+    ) -> None:
+        self.event, self.kind, self.most = event, kind, most  # at most so many attempts
         self.offered_at, self.rank = now, (cut_first, not urgent, now)  # rank: the worthiest first
         self.gives_up = now + event.budget - END_MARGIN
         self.attempts = self.hold_until = self.errors = 0
@@ -313,21 +320,16 @@
         self.review_at = self.token = self.demand_at = 0
         self.timers: dict[int, tuple[Callable[[int, Any], None], CallId | ServerId]] = {}
         self.actions: list[Action] = []
-        aim = min(kind.aim for kind in settings.classes)
-        self.pace = Pace(aim)
-        self.l1, self.l2, lr = (int(aim * part) for part in (L1_OF_AIM, L2_OF_AIM, LR_OF_AIM))
-        self.limits = self.l1, self.l2, lr
-        self.urgent_worth = 2 * min(kind.worth for kind in settings.classes)
+        self._retuned(0, NewSettings(settings))
         # Mean length of the calls offered; at first the longest, so that servers are not thought too able.
         self.hold = float(max(kind.mean_hold for kind in settings.classes))
-        self.probe_gap = max(PROBE_EVERY, PROBES_APART * settings.group_size)
         self.part = 1.0 / settings.group_size  # this gateway's part of all calls
         self.demand = self.standing = 0.0  # calls a second offered here, without redials; calls of all
         self.demand_seen = 0.0  # part of SHARE_SPAN that demand has been counted for
-        self.group_rate, self.group_at = [0.0] * len(settings.groups), [0] * len(settings.groups)
         self.handlers: dict[type, Any] = {
             ServerList: self._server_list, ServerReport: self._report, CallOffered: self._offered,
             CallStands: self._stands, AttemptEnded: self._ended, CallerGone: self._gone, TimerDue: self._due,
+            NewSettings: self._retuned,
         }  # fmt: skip
         self.started = False
         # Numbers whose callers may dial again, with their first try; with no line free, until when so.
@@ -356,6 +358,17 @@
         self.handlers[type(event)](now, event)
         return self.actions
 
+    def _retuned(self, _: int, event: NewSettings) -> None:
+        settings = self.settings = event.settings
+        aim = min(kind.aim for kind in settings.classes)
+        self.pace, limits = Pace(aim), tuple(int(aim * part) for part in (L1_OF_AIM, L2_OF_AIM, LR_OF_AIM))
+        self.limits, (self.l1, self.l2, _) = limits, limits
+        self.urgent_worth = 2 * min(kind.worth for kind in settings.classes)
+        self.probe_gap = max(PROBE_EVERY, PROBES_APART * settings.group_size)
+        self.group_rate, self.group_at = [0.0] * len(settings.groups), [0] * len(settings.groups)
+        for view in self.servers.values():
+            view.tune(limits, self.pace)
+
     def _review(self, now: int) -> None:
         """Set this gateway's part and the caps anew."""
         span = now - self.demand_at
@@ -403,12 +416,11 @@
 
     def memory(self) -> dict[str, Any]:
         """What a successor on the same clock is to know: ratings, caps, capacities, demand. Plain values."""
-        return {"own": {name: getattr(self, name) for name in KEPT_OWN},
-                "servers": {server: view.memory() for server, view in self.servers.items()}}  # fmt: skip
+        servers = {server: view.memory() for server, view in self.servers.items()}
+        return {"own": {name: getattr(self, name) for name in KEPT_OWN}, "servers": servers}
 
     def remember(self, now: int, memory: dict[str, Any]) -> None:
         """Go on from the memory of the process before, once the list has been told."""
-        self.started = True
         self.__dict__.update({name: memory["own"][name] for name in KEPT_OWN})
         self.review_at = now + self.random.randrange(self.pace.review)
         for server, kept in memory["servers"].items():
@@ -549,7 +561,8 @@
         # A number missed a moment ago is dialled again: callers count from the first try.
         first_offered = min(now, self.missed.pop(event.called, now))
         late = now - first_offered > kind.aim
-        call = Call(event, now, kind.worth >= self.urgent_worth and not late, over or late)
+        urgent = kind.worth >= self.urgent_worth and not late
+        call = Call(event, kind, self.settings.max_attempts, now, urgent, over or late)
         call.hold_until = min(call.gives_up, now + int((first_offered + kind.aim - now) * HOLD_OF_AIM))
         call.offered_at = first_offered
         call.rank = (call.cut_first, not call.urgent, first_offered)
@@ -573,7 +586,7 @@
         """Offer held calls again, the worthiest first; where one finds none open, its like do not look."""
         blocked: set[tuple] = set()
         for call in sorted(self.held.values(), key=lambda call: call.rank):
-            like = (call.cut_first, call.event.call_class, call.event.in_transit and call.event.destination)
+            like = (call.cut_first, call.kind, call.event.in_transit and call.event.destination)
             if now < call.gives_up and like not in blocked:
                 if self._try_send(now, call):
                     continue
@@ -597,7 +610,7 @@
 
     def _place(self, now: int, call: Call) -> None:
         """Send the call, hold it for the release wait, or refuse it."""
-        if call.attempts >= self.settings.max_attempts or now >= call.gives_up:
+        if call.attempts >= call.most or now >= call.gives_up:
             self._finish(call)
             return
         if now < call.ready_at:
@@ -651,7 +664,7 @@
             if view.bucket.take(now, reserve, call.urgent):
                 return view
         if call.urgent:  # never cut, nor kept waiting for a slow server: the quickest of late, if in time
-            aim = self.settings.classes[call.event.call_class].aim
+            aim = call.kind.aim
             for view in sorted(order, key=lambda view: (view.last_delay, len(view.out))):
                 if now < view.full_until or view.silent or not view.cold_room(now):
                     continue
@@ -661,7 +674,7 @@
         return None
 
     def _allowed(self, call: Call, view: ServerView) -> bool:
-        number, kind = view.entry.number, self.settings.classes[call.event.call_class]
+        number, kind = view.entry.number, call.kind
         ready = view.usable() and number != self.settings.own_number
         direct = number == call.event.destination or not call.event.in_transit
         return ready and direct and (kind.pools is None or number in kind.pools)
@@ -720,8 +733,8 @@
             del view.out[number]
             call = self.calls.get(number)
             if call is not None and call.server == view.entry.server and self.settings.may_cancel:
-                aim = self.settings.classes[call.event.call_class].aim
-                if now + self.settings.release_wait + self.l1 < call.offered_at + aim:
+                due = call.offered_at + call.kind.aim
+                if call.kind.repeatable and now + self.settings.release_wait + self.l1 < due:
                     self.actions.append(CancelAttempt(number, call.attempts - 1))
 
     def _answer(self, now: int, number: CallId, server: ServerId) -> ServerView | None:
@@ -756,7 +769,7 @@
             call.ready_at = now + self.settings.release_wait
         proven = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # that it never ran
         call.may_have_run |= event.outcome not in proven
-        once = call.may_have_run and not self.settings.classes[call.event.call_class].repeatable
+        once = call.may_have_run and not call.kind.repeatable
         if event.number_busy:  # no server can help; one crowded number must not take their work
             self.busy.pop(call.event.called, None)
             self.busy[call.event.called] = now + NUMBER_GAP
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,6 +5,7 @@
 import copy
 import tempfile
 import unittest
+from math import inf, nan
 from datetime import timedelta
 
 from support import ROOT, SETTINGS
@@ -286,13 +287,17 @@
             ("settings.groupSize", None, "groupSize"), ("settings.rules.coldFrom", "x", "rules.coldFrom"),
             ("settings.limits.dialTimeout", None, "limits.dialTimeout"),
             ("settings.services.1.name", None, "settings.services.1.name"),
-            ("settings.services.0.onTime", -1, "onTime"),
+            ("settings.services.0.onTime", -1, "onTime"), ("settings.services.1.name", "log-lookup", "twice"),
+            *(("settings.services.0.deadline", bad, "settings.services.0.deadline")
+              for bad in (0, -1, True, "9000000", nan, inf, 1e30, 2.5, [], {})),
+            *(("settings.limits.mostTries", bad, "settings.limits.mostTries")
+              for bad in (0, -4, True, "4", nan, inf, 1e30, 2.5, {})),
+            ("settings.services.0.worth", True, "worth"), ("settings.services.0.worth", nan, "worth"),
+            ("settings.services", [3], "settings.services.0.onTime"), ("settings.services", {}, "services"),
         ]  # fmt: skip
         for path, value, named in faults:
             with self.subTest(path):
-                self.assertIn(
-                    named.split(".")[-1].lower().replace("ontime", "aim"), self.fault(path, value).lower()
-                )
+                self.assertIn(named.split(".")[-1].lower(), self.fault(path, value).lower())
 
     def test_files_that_cannot_be_read(self) -> None:
         for environment in ({}, {"LB_CONFIG": "/no/such/file"}, {"LB_CONFIG": __file__}):
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import http.client
 import json
 import os
@@ -11,7 +12,7 @@
 from typing import Any
 
 from sip_peers import operators_file, sip_port
-from support import Caller, Process, connect, free_port, receive
+from support import CLASS, SETTINGS, WAIT, Caller, Process, connect, free_port, receive
 from test_platform import PlatformCase
 
 from mallowquay.net.control import PLACES
@@ -190,6 +191,74 @@
             self.caller.read()
 
 
+class RetuneTest(ControlCase):
+    def reload(self, settings: dict[str, Any], **changes: Any) -> None:
+        """Replace the file and have it read; the log says what came of it."""
+        text = json.dumps({**self.document, "settings": settings, **changes})
+        self.reload_text(text)
+
+    def reload_text(self, text: str, word: str = "the configuration was read anew") -> None:
+        with open(self.file, "w") as file:
+            file.write(text)
+        before = self.program.text().count(word)
+        self.program.hang_up()
+        end = time.monotonic() + WAIT
+        while self.program.text().count(word) == before:
+            self.assertLess(time.monotonic(), end, self.program.text())
+            time.sleep(0.005)
+
+    def settings(self, **limits: Any) -> dict[str, Any]:
+        settings = copy.deepcopy(SETTINGS)
+        settings["limits"].update(limits)
+        return settings
+
+    def test_new_classes_come_under_their_own_rules_and_open_calls_keep_theirs(self) -> None:
+        self.caller.invite("00000000000000a1", left=2500)  # a lookup, under the rules of before
+        first = self.log_servers[0].read()
+        settings = self.settings(mostTries=1)
+        settings["services"] = [
+            {**CLASS, "name": "log-once", "effect": "non_idempotent"}, {**CLASS, "name": "log-update"},
+        ]  # fmt: skip
+        self.reload(settings)
+        self.caller.invite("00000000000000a1", left=2500)  # a copy is silent, though its class is dropped
+        self.caller.invite("00000000000000a2")
+        self.assertTrue(self.caller.read()[""].startswith("SIP/2.0 400"))  # the class is no more
+        self.log_servers[0].say("down", first["ref"], cause=34, note="ovl")
+        self.assertEqual(self.log_servers[1].read()["ref"], "00000000000000a1")  # a second attempt, as before
+        self.log_servers[1].say("up", "00000000000000a1", text="answer")
+        self.assertEqual(self.caller.read()[""], "SIP/2.0 200 OK")
+        self.caller.invite("00000000000000a3", dest=1, kind="log-once")
+        self.assertEqual(self.log_servers[1].read()["f"]["class"], "log-once")
+        self.log_servers[1].say("down", "00000000000000a3", cause=34, note="ovl")
+        self.assertTrue(self.caller.read()[""].startswith("SIP/2.0 503"))  # one attempt, and it never ran
+        self.caller.invite("00000000000000a4", dest=0, kind="log-once")
+        self.log_servers[0].read()
+        self.log_servers[0].say("down", "00000000000000a4", cause=41)  # it may have run: it has failed
+        self.assertTrue(self.caller.read()[""].startswith("SIP/2.0 500"))
+        figures = self.call("GET", "/stats")[1]
+        self.assertEqual(figures["completed"], {"log-lookup": 1, "log-update": 0, "log-once": 0})
+        self.assertEqual((figures["rejected"]["log-once"], figures["failed"]["log-once"]), (1, 1))
+        self.assertEqual((figures["config_reloads"], figures["config_reload_errors"]), (1, 0))
+
+    def test_a_faulty_file_is_turned_down_whole(self) -> None:
+        good = json.dumps({**self.document, "settings": self.settings(mostTries=1)})
+        lacking = [key for key in self.document if key != "listen"]  # LB_LISTEN names that
+        texts = ["", "{}", "[]", "null", good[: len(good) // 2], good[:-1], good.replace("9000000", "true"),
+                 good.replace("9000000", "NaN"), good.replace("9000000", '"9000000"'),
+                 good.replace('"mostTries": 1', '"mostTries": 0'), good.replace('"mostTries": 1, ', ""),
+                 good.replace("300000", '"300000"'), good.replace("log-update", "log-lookup")]  # fmt: skip
+        texts += [json.dumps({k: v for k, v in json.loads(good).items() if k != key}) for key in lacking]
+        for text in texts:
+            self.assertNotEqual(text, good)
+            self.reload_text(text, "is not taken")
+        figures = self.call("GET", "/stats")[1]
+        self.assertEqual((figures["config_reloads"], figures["config_reload_errors"]), (0, len(texts)))
+        self.caller.invite("00000000000000b1")  # as many attempts as before
+        self.log_servers[0].read()
+        self.log_servers[0].say("down", "00000000000000b1", cause=34, note="ovl")
+        self.assertEqual(self.log_servers[1].read()["ref"], "00000000000000b1")
+
+
 class SipDrainTest(unittest.TestCase):
     def test_the_second_front_drains_as_well(self) -> None:
         port, control = sip_port(), free_port()
