Let silent TCP connections of the second front give way, and move the handover to its own module

The second front's connections were limited in number alone (transport.read): 8 silent ones kept everybody out for good, as the new test shows without the change. net/handover.py holds what stood in platform_front; two processes of an upgrade now share the places for connections, so that their descriptors together stay within the limit.

--- a/mallowquay/__main__.py
+++ b/mallowquay/__main__.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
@@ -27,19 +27,15 @@
 from .core.figures import Figures
 from .core.model import ListTold
 from .net.clock import Metronome, UnixTime, monotonic
-from .net.consul import Consul
 from .net.control import serve as serve_control
 from .net.coordinator import Coordinator, read_known, read_servers, tell_servers
 from .net.operation import Operation
 from .net.platform_front import PlatformFront
 from .net.platform_servers import PlatformServers
-from .net.sip.front import SipFront
-from .net.sip.servers import SipServers
-from .net.sip.transactions import Timers, Transactions
-from .net.sip.transport import Transport
 from .net.twin import Twin
-from .net.xds import Endpoints
-from .net.xds import serve as serve_xds
+
+if TYPE_CHECKING:
+    from .net.sip.front import SipFront
 
 log = logging.getLogger("mallowquay")
 
@@ -130,6 +126,15 @@
 
     def start_sip(self, sip: SipConfig) -> None:
         """Serve SIP over UDP and TCP."""
+        # Loaded here: two processes of the platform share one allowance of memory at an upgrade.
+        from .net.consul import Consul
+        from .net.sip.front import SipFront
+        from .net.sip.servers import SipServers
+        from .net.sip.transactions import Timers, Transactions
+        from .net.sip.transport import Transport
+        from .net.xds import Endpoints
+        from .net.xds import serve as serve_xds
+
         chance = random.Random(self.config.seed)
         tag = partial(_tag, chance)
         most = self.config.sockets - config.SOCKETS_KEPT
@@ -229,7 +234,8 @@
         self.twin.closing = True
         if isinstance(self.front, PlatformFront) and self.twin.succeeded:
             log.info("the successor takes the connections")
-            self._handing = asyncio.ensure_future(self.front.hand_over())
+            self.front.stop()
+            self._handing = asyncio.ensure_future(self.front.handover.hand_over())
         self._look()
 
     def _look(self) -> None:
--- /dev/null
+++ b/mallowquay/net/handover.py
@@ -0,0 +1,150 @@
+"""What two processes of an upgrade do for each other's callers: connections, and word of open calls."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import socket
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from tornado.iostream import IOStream
+
+from ..config import SOCKETS_KEPT
+from ..core.calls import Calls, CallState
+from .statuses import release_ending
+from .streams import WRITE_BUFFER_MOST
+from .tasks import Tasks
+from .twin import Packet, Twin
+
+if TYPE_CHECKING:
+    from .platform_front import Connection, PlatformFront
+
+MICROSECOND = timedelta(microseconds=1)
+HAND_AGAIN = timedelta(milliseconds=20)
+PLACES_LEAST = 8
+
+
+class Handover:
+    """Hands the front's connections to the successor, and takes those of the process before."""
+
+    def __init__(self, front: PlatformFront, calls: Calls, twin: Twin) -> None:
+        self._front, self._calls, self.twin = front, calls, twin
+        self._next_key = 0
+        self._handed: dict[int, Connection] = {}  # to the successor, by key
+        self._adopted: dict[int, Connection] = {}  # from the process before
+        self._succeeds = False  # the process before has begun to hand over
+        self._spawn = Tasks().spawn
+        twin.met, twin.gone, twin.connection = front.trim, self._gone, self._adopt
+        twin.takes.update(
+            write=self._write,
+            closed=lambda told: self._closed_there(told["key"]),
+            over=lambda told: self._over_there(told["id"]),
+            answered=lambda told: front.answered.add_all(told["ids"]),
+            cancel=lambda told: front.cancel(told["id"]),
+            bye=lambda told: front.caller_released(told["id"], told["cause"]),
+            down=self._ended_here,
+            release=lambda told: front.send_release(told["id"], told["uri"], told["cause"]),
+        )
+
+    def places(self, most: int) -> int:
+        """How many connections may be open here: the two share what the configuration gives."""
+        if not self.twin.alive:
+            return most
+        both = most - SOCKETS_KEPT  # each keeps as many for itself
+        return max(both if self._succeeds else both // 2, PLACES_LEAST)
+
+    # --- the process that ends
+
+    async def hand_over(self) -> None:
+        """Hand each connection over between two reads, until none has come up any more."""
+        quiet_turns = 0
+        while quiet_turns < 2 and self.twin.succeeded:  # what was accepted just now is to come up
+            connections = self._front.connections
+            for connection in list(connections):
+                if not connection.closing:
+                    self._hand(connection)
+            quiet_turns = 0 if connections else quiet_turns + 1
+            await asyncio.sleep(HAND_AGAIN.total_seconds())
+
+    def _hand(self, connection: Connection) -> None:
+        stream, buffer = connection.stream, connection.buffer
+        if not connection.reading or not stream.reading() or stream.writing() or stream.closed():
+            return  # in a moment
+        key = self._next_key = self._next_key + 1
+        since = connection.waiting_since
+        self.twin.send(
+            "connection",
+            stream.socket.fileno(),
+            key=key,
+            rest=base64.b64encode(buffer.data[buffer.start : buffer.end]).decode(),
+            open=sorted(connection.unanswered | connection.standing),
+            spoke=connection.spoke,
+            bad=connection.bad,
+            waiting=None if since is None else since // MICROSECOND,
+        )
+
+        def write(parts: list[bytes]) -> bool:
+            self.twin.send("write", key=key, data=base64.b64encode(b"".join(parts)).decode())
+            return True
+
+        connection.handed = write
+        self._handed[key] = connection
+        del self._front.connections[connection]
+        stream.close()  # the successor has it: nothing is shut down
+
+    def _closed_there(self, key: int) -> None:
+        """A connection that was handed over has closed, or its new process has died."""
+        connection = self._handed.pop(key, None)
+        if connection is not None:
+            connection.handed = None
+            connection.standing.clear()
+            self._front.give_up(connection)
+
+    # --- the process that succeeds
+
+    def _adopt(self, told: Packet, descriptor: int) -> None:
+        """A connection of the process before."""
+        self._succeeds = True
+        sock = socket.socket(fileno=descriptor)
+        sock.setblocking(False)
+        stream = IOStream(sock, max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
+        connection = self._front.new_connection(stream)
+        connection.buffer.put(base64.b64decode(told["rest"]))
+        connection.key, connection.elsewhere = told["key"], set(told["open"]) & self.twin.ids
+        connection.spoke, connection.bad = told["spoke"], told["bad"]
+        connection.waiting_since = None if told["waiting"] is None else told["waiting"] * MICROSECOND
+        self._adopted[connection.key] = connection
+        self._spawn(self._front.serve(connection))
+
+    def closed(self, connection: Connection) -> None:
+        """A connection has closed here."""
+        if self._adopted.pop(connection.key, None) is not None:
+            self.twin.send("closed", key=connection.key)
+
+    def _write(self, told: Packet) -> None:
+        connection = self._adopted.get(told["key"])
+        if connection is not None:
+            connection.write([base64.b64decode(told["data"])])
+
+    # --- either
+
+    def _over_there(self, call_id: str) -> None:
+        self._front.over.add(call_id)
+        for connection in self._adopted.values():
+            connection.elsewhere.discard(call_id)
+
+    def _ended_here(self, told: Packet) -> None:
+        """The other process heard from a log server that a call which stands here is over."""
+        call = self._calls.get(told["id"])
+        if call is not None and call.state is CallState.STANDING and call.attempt is not None:
+            self._calls.ended(call.attempt, release_ending(told["cause"]))
+
+    def _gone(self) -> None:
+        """The other process has ended: nothing more comes of what was open there."""
+        self._succeeds = False
+        for connection in self._adopted.values():
+            connection.elsewhere.clear()
+        self._adopted.clear()
+        for key in list(self._handed):
+            self._closed_there(key)
--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import gc
 import json
 import logging
-import socket
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -18,6 +16,7 @@
 from ..config import ClassConfig
 from ..core.calls import Call, Calls, CallState
 from ..core.model import Clock, Ending, FinalAnswer, Request, Verdict
+from .handover import Handover
 from .operation import Operation
 from .recent import Recent
 from .seldom import Seldom
@@ -33,7 +32,7 @@
     write_request,
     write_response,
 )
-from .statuses import NORMAL_CLEARING, platform_status, release_cause, release_ending
+from .statuses import NORMAL_CLEARING, platform_status, release_cause
 from .streams import (
     MESSAGE_MOST,
     WRITE_BUFFER_MOST,
@@ -46,13 +45,11 @@
     gathered_write,
     quiet,
 )
-from .tasks import Tasks
-from .twin import Packet, Twin
+from .twin import Twin
 
 log = logging.getLogger(__name__)
 
-MICROSECOND, MILLISECOND = timedelta(microseconds=1), timedelta(milliseconds=1)
-HAND_AGAIN = timedelta(milliseconds=20)
+MILLISECOND = timedelta(milliseconds=1)
 # A connection that has brought no whole message, or half of one, by then is closed: 3 s are allowed, and
 # honest callers take up to 2 s to write one.
 MESSAGE_WITHIN = timedelta(milliseconds=2500)
@@ -145,8 +142,8 @@
     ) -> None:
         super().__init__(max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
         self._calls, self._clock, self._classes = calls, clock, classes
-        self._margin, self.most, self._operation = end_margin, most, operation
-        self._connections: dict[Connection, None] = {}  # the one heard of last at the end
+        self._margin, self._most, self._operation = end_margin, most, operation
+        self.connections: dict[Connection, None] = {}  # the one heard of last at the end
         self._warn_bad, self._warn_most = Seldom(log, clock), Seldom(log, clock)
         self._watch = PeriodicCallback(self.watch, WATCH_EVERY)
         self._watch.start()
@@ -159,21 +156,7 @@
         self._twin = twin
         self._before: dict[str, ClassConfig] = {}  # classes of files before
         self._closed = 0  # connections, since garbage was collected last
-        self._next_key = 0
-        self._spawn = Tasks().spawn
-        self._handed: dict[int, Connection] = {}  # to the successor, by key
-        self._adopted: dict[int, Connection] = {}  # from the process before
-        twin.connection, twin.gone = self._adopt, self._twin_gone
-        twin.takes.update(
-            write=self._write_adopted,
-            closed=self._handed_closed,
-            over=self._over_elsewhere,
-            answered=lambda told: self.answered.add_all(told["ids"]),
-            cancel=lambda told: self.cancel(told["id"]),
-            bye=lambda told: self.caller_released(told["id"], told["cause"]),
-            down=self._ended_here,
-            release=lambda told: self.send_release(told["id"], told["uri"], told["cause"]),
-        )
+        self.handover = Handover(self, calls, twin)
 
     def settled(self) -> bool:
         """Nothing is sent again on this wire: what is answered is done."""
@@ -181,16 +164,18 @@
 
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Serve one connection until it closes."""
-        if len(self._connections) >= self.most and not self._make_room():
-            self._warn_most.warning("refused a connection beyond %d", self.most)
+        places = self.handover.places(self._most)
+        if len(self.connections) >= places and not self._make_room():
+            self._warn_most.warning("refused a connection beyond %d", places)
             stream.close()
             return
-        await self._serve(Connection(quiet(stream), self._clock()))
+        await self.serve(self.new_connection(quiet(stream)))
 
-    async def _serve(self, connection: Connection) -> None:
+    async def serve(self, connection: Connection) -> None:
+        """Read a connection until it closes."""
         stream = connection.stream
         stream.max_write_buffer_size = WRITE_BUFFER_MOST
-        self._connections[connection] = None
+        self.connections[connection] = None
         try:
             if connection.key:  # what came to the process before, and was not whole there
                 self._take(connection)
@@ -198,7 +183,7 @@
                 connection.reading = True
                 await fill(stream, connection.buffer)
                 connection.reading = False
-                if connection in self._connections and not connection.closing:
+                if connection in self.connections and not connection.closing:
                     self._take(connection)
                 else:  # it gave way as this came, or is being closed
                     connection.buffer.start = connection.buffer.end
@@ -210,18 +195,27 @@
             connection.closing = True
             if isinstance(fault, BadMessage):
                 self._reply_bad(connection, fault)
-            self._give_up(connection)
+            self.give_up(connection)
             await close_gently(stream)
         finally:
-            self._connections.pop(connection, None)
+            self.connections.pop(connection, None)
             connection.buffer = MessageBuffer(0)
             self._closed += 1
             if connection.handed is None:
                 stream.close()
-                self._give_up(connection)
-                self._adopted_closed(connection)
+                self.give_up(connection)
+                self.handover.closed(connection)
+
+    def new_connection(self, stream: IOStream) -> Connection:
+        """A connection that opens now."""
+        return Connection(stream, self._clock())
 
-    def _give_up(self, connection: Connection) -> None:
+    def trim(self) -> None:
+        """There are fewer places from now on."""
+        while len(self.connections) > self.handover.places(self._most) and self._make_room():
+            pass
+
+    def give_up(self, connection: Connection) -> None:
         """Nobody is left to answer, or will be: no work for nothing, and nothing may come to stand."""
         for call_id in list(connection.unanswered):
             self._calls.caller_left(call_id)
@@ -234,7 +228,7 @@
         honest and slow: these go last, and those that have begun before the others once they fill half.
         """
         grace = self._clock() - NEW_FOR
-        idle = [known for known in self._connections if not known.busy]
+        idle = [known for known in self.connections if not known.busy]
         if not idle:
             return False
         begun, rest = list[Connection](), list[Connection]()
@@ -243,10 +237,10 @@
             (begun if half else rest).append(known)
         old = [known for known in rest if known.closing or (not known.spoke and known.opened_at <= grace)]
         spoke = [known for known in rest if known.spoke]
-        crowded = begun if len(begun) > self.most // 2 else []
+        crowded = begun if len(begun) > self.handover.places(self._most) // 2 else []
         least = (old or spoke or crowded or rest or begun)[0]
-        self._warn_most.warning("closed an idle connection: there are %d", len(self._connections))
-        del self._connections[least]  # its place is free at once
+        self._warn_most.warning("closed an idle connection: there are %d", len(self.connections))
+        del self.connections[least]  # its place is free at once
         least.stream.close()
         return True
 
@@ -267,106 +261,18 @@
         self._before |= self._classes
         self._classes = classes
 
-    # --- an upgrade
-
-    async def hand_over(self) -> None:
-        """Accept no more, and hand each connection to the successor at a message boundary of ours."""
-        self.stop()
-        quiet_turns = 0
-        while quiet_turns < 2 and self._twin.succeeded:  # what was accepted just now is to come up
-            for connection in list(self._connections):
-                if not connection.closing:
-                    self._hand(connection)
-            quiet_turns = 0 if self._connections else quiet_turns + 1
-            await asyncio.sleep(HAND_AGAIN.total_seconds())
-
-    def _hand(self, connection: Connection) -> None:
-        stream, buffer = connection.stream, connection.buffer
-        if not connection.reading or not stream.reading() or stream.writing() or stream.closed():
-            return  # in a moment
-        key = self._next_key = self._next_key + 1
-        since = connection.waiting_since
-        self._twin.send(
-            "connection",
-            stream.socket.fileno(),
-            key=key,
-            rest=base64.b64encode(buffer.data[buffer.start : buffer.end]).decode(),
-            open=sorted(connection.unanswered | connection.standing),
-            spoke=connection.spoke,
-            bad=connection.bad,
-            waiting=None if since is None else since // MICROSECOND,
-        )
-
-        def write(parts: list[bytes]) -> bool:
-            self._twin.send("write", key=key, data=base64.b64encode(b"".join(parts)).decode())
-            return True
-
-        connection.handed = write
-        self._handed[key] = connection
-        del self._connections[connection]
-        stream.close()  # the successor has it: nothing is shut down
-
-    def _handed_closed(self, told: Packet) -> None:
-        """A connection that was handed over has closed there."""
-        connection = self._handed.pop(told["key"], None)
-        if connection is not None:
-            connection.handed = None
-            connection.standing.clear()
-            self._give_up(connection)
-
-    def _adopt(self, told: Packet, descriptor: int) -> None:
-        """A connection of the process before."""
-        sock = socket.socket(fileno=descriptor)
-        sock.setblocking(False)
-        stream = IOStream(sock, max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
-        connection = Connection(stream, self._clock())
-        connection.buffer.put(base64.b64decode(told["rest"]))
-        connection.key, connection.elsewhere = told["key"], set(told["open"]) & self._twin.ids
-        connection.spoke, connection.bad = told["spoke"], told["bad"]
-        connection.waiting_since = None if told["waiting"] is None else told["waiting"] * MICROSECOND
-        self._adopted[connection.key] = connection
-        self._spawn(self._serve(connection))
-
-    def _adopted_closed(self, connection: Connection) -> None:
-        if self._adopted.pop(connection.key, None) is not None:
-            self._twin.send("closed", key=connection.key)
-
-    def _write_adopted(self, told: Packet) -> None:
-        connection = self._adopted.get(told["key"])
-        if connection is not None:
-            connection.write([base64.b64decode(told["data"])])
-
-    def _over_elsewhere(self, told: Packet) -> None:
-        self.over.add(told["id"])
-        for connection in self._adopted.values():
-            connection.elsewhere.discard(told["id"])
-
     def note_answered(self, call_id: str) -> None:
         """The id has had its final answer: it does not come again, here or in the other process."""
         self.answered.add(call_id)
         self._twin.send("answered", ids=[call_id])
 
-    def _ended_here(self, told: Packet) -> None:
-        """The other process heard from a log server that a call which stands here is over."""
-        call = self._calls.get(told["id"])
-        if call is not None and call.state is CallState.STANDING and call.attempt is not None:
-            self._calls.ended(call.attempt, release_ending(told["cause"]))
-
-    def _twin_gone(self) -> None:
-        """The other process has ended: nothing more comes of what was open there."""
-        for connection in self._adopted.values():
-            connection.elsewhere.clear()
-        self._adopted.clear()
-        for key in list(self._handed):
-            self._handed_closed({"key": key})
-
     def watch(self) -> None:
         """Close connections whose next message does not get whole, and all while callers are sent away."""
         if self._closed >= CLOSED_MOST:  # a closed stream is part of cycles; a crowd leaves thousands of them
             self._closed = 0
             gc.collect()
         now = self._clock()
-        for connection in list(self._connections):
+        for connection in list(self.connections):
             self.leave(connection)
             since = connection.waiting_since
             due = connection.unanswered or connection.elsewhere
@@ -405,7 +311,7 @@
                 self._warn_bad.warning("bad message from a caller: %s", fault)
                 self._reply_bad(connection, fault)
         if connection.spoke:
-            self._connections[connection] = self._connections.pop(connection)
+            self.connections[connection] = self.connections.pop(connection)
             if buffer.start == buffer.end:
                 connection.waiting_since = None
             elif connection.waiting_since is None:
@@ -554,7 +460,7 @@
             ("Reason", f"Q.850;cause={cause}"),
         ]
         parts = write_request("BYE", uri, headers)
-        for connection in [first, *reversed(self._connections)]:
+        for connection in [first, *reversed(self.connections)]:
             if connection is None or connection.closing:
                 continue
             # Not on one of a crowd that says nothing.
--- a/mallowquay/net/sip/transport.py
+++ b/mallowquay/net/sip/transport.py
@@ -70,6 +70,7 @@
         self.buffer = MessageBuffer()
         self.reading = False  # nothing has been read that is not taken
         self.closing = False  # what still comes is not for us
+        self.spoke = outgoing  # a whole message has come, or we opened it
 
     def write(self, parts: list[bytes]) -> bool:
         """Send a message; False if the connection is gone."""
@@ -86,7 +87,7 @@
         self._udp: socket.socket | None = None
         self._datagram = bytearray(MESSAGE_MOST + 1)
         self._local: dict[str, Address] = {}
-        self._connections: set[Connection] = set()
+        self._connections: dict[Connection, None] = {}  # the one opened first at the start
         self._out: dict[Address, Connection] = {}
         self._coming: dict[Address, list[tuple[list[bytes], Failed | None]]] = {}
         self.spawn = Tasks().spawn
@@ -195,10 +196,10 @@
 
     async def read(self, connection: Connection) -> None:
         """Read one connection until it closes or can no longer be followed."""
-        if len(self._connections) >= self._most:
+        if len(self._connections) >= self._most and not self._make_room():
             connection.stream.close()
             return
-        self._connections.add(connection)
+        self._connections[connection] = None
         stream, buffer = connection.stream, connection.buffer
         stream.max_write_buffer_size = WRITE_BUFFER_MOST
         ending: Ending | None = None
@@ -219,13 +220,23 @@
             if isinstance(fault, BadMessage):
                 self._refuse(fault, Hop("tcp", connection.address, connection))
         finally:
-            self._connections.discard(connection)
+            self._connections.pop(connection, None)
             stream.close()
             if self._out.get(connection.address) is connection:
                 del self._out[connection.address]
         if connection.outgoing:
             self.lost(connection.address, ending or close_ending(stream))
 
+    def _make_room(self) -> bool:
+        """At the limit: the one that has said nothing whole for the longest gives way to a newcomer."""
+        silent = next((known for known in self._connections if not known.spoke or known.closing), None)
+        if silent is None:
+            return False
+        del self._connections[silent]
+        silent.closing = True
+        silent.stream.close()
+        return True
+
     def leave(self, busy: Set[Connection | None]) -> None:
         """Close callers' connections between requests, but for these."""
         for connection in [known for known in self._connections if known not in busy]:
@@ -241,6 +252,7 @@
             message, buffer.start = parse(buffer.data, buffer.start, buffer.end)
             if message is None:
                 return
+            connection.spoke = True
             host, port = connection.address
             fallback = (host, sent_by_port(message.get("Via"))) if message.method else None
             self._up(message, Hop("tcp", (host, port), connection, fallback))
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -115,6 +115,27 @@
         return answer.tag("to"), invite
 
 
+class SipCrowd(unittest.TestCase):
+    def test_connections_that_say_nothing_give_way(self) -> None:
+        port = sip_port()
+        path = operators_file(port, [(sip_port(), "udp")], extra="[limits]\nsockets = 72\n")
+        self.addCleanup(os.unlink, path)
+        program = Process([path], {})
+        self.addCleanup(program.stop)
+        for number in range(2):  # the one that has spoken stays through the next crowd
+            for sock in [connect(port) for _ in range(30)]:
+                self.addCleanup(sock.close)
+            if number == 0:
+                good = Peer(connect(port))
+                self.addCleanup(good.sock.close)
+            good.write(encode("OPTIONS sip:127.0.0.1 SIP/2.0", [
+                ("Via", f"SIP/2.0/TCP 127.0.0.1:9;branch=z9hG4bKo{number}"),
+                ("From", "<sip:c@127.0.0.1>;tag=1"), ("To", "<sip:127.0.0.1>"), ("Call-ID", f"o{number}"),
+                ("CSeq", "1 OPTIONS"), ("Max-Forwards", "70"),
+            ]))  # fmt: skip
+            self.assertEqual(good.expect("SIP/2.0 200").status, 200)
+
+
 class SipCase(SipBase):
     def test_a_call_from_invite_to_bye(self) -> None:
         self.request(self.udp, "INVITE", "c1", more=(("Record-Route", "<sip:127.0.0.1:9;lr>"),))
