--- a/mallowquay/__main__.py
+++ b/mallowquay/__main__.py
@@ -92,6 +92,8 @@
 
         unix = UnixTime()
         self.calls.opened, self.calls.closed = self.twin.taken, self.twin.over
+        self.calls.came_to_stand = lambda call: self.twin.send("stands", **front.handover.tell_standing(call))
+        front.listed = lambda server: server in servers.servers
         try:
             index, events = read_known(platform.known, unix)
             before = self.twin.state
@@ -119,6 +121,7 @@
             "servers": tell_servers(servers.servers.values(), unix),
             "module": self.decisions.memory(),
             "ids": self.calls.open_ids(),
+            "standing": [front.handover.tell_standing(call) for call in self.calls.standing()],
             "answered": front.answered.ids(),
         }
         self.twin.send("serves")
--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -104,6 +104,7 @@
         self._running = False
         self.opened: Callable[[str], None] = lambda request_id: None  # told of each call taken
         self.closed: Callable[[str], None] = lambda request_id: None  # and of each that is over
+        self.came_to_stand: Callable[[Call], None] = lambda call: None
         self.unanswered = 0
         self.last_offer = clock()
         self.wake: Callable[[], None] = lambda: None  # told when the next due time may have changed
@@ -121,6 +122,19 @@
         """Requests taken and not ended: unanswered, or answered with a call that stands."""
         return len(self._calls)
 
+    def standing(self) -> list[Call]:
+        """All calls that stand."""
+        return [call for call in self._calls.values() if call.state is CallState.STANDING]
+
+    def adopt(self, request: Request, server: str, caller: Caller) -> None:
+        """A call that came to stand in a process before this one; the module has not met it."""
+        if request.id in self._calls:
+            return
+        call = self._calls[request.id] = Call(request, caller, self._release_wait)
+        call.state = CallState.STANDING
+        call.attempt = Attempt(request, 0, server, self._clock(), timedelta(0))
+        self.opened(request.id)
+
     def open_ids(self) -> list[str]:
         """The ids of all requests that are pending."""
         return list(self._calls)
@@ -211,6 +225,7 @@
         if load:
             self._do(lambda: self._decisions.report(LoadTold(attempt.server, load)))
         call.caller.answer(call, FinalAnswer(Verdict.STANDS, description))
+        self.came_to_stand(call)
         return True
 
     def ended(self, attempt: Attempt, ending: Ending, load: Load | None = None) -> bool:
--- a/mallowquay/net/handover.py
+++ b/mallowquay/net/handover.py
@@ -11,7 +11,7 @@
 from tornado.iostream import IOStream
 
 from ..config import SOCKETS_KEPT
-from ..core.calls import Calls, CallState
+from ..core.calls import Call, Calls, CallState
 from .statuses import release_ending
 from .streams import WRITE_BUFFER_MOST
 from .tasks import Tasks
@@ -140,9 +140,18 @@
         if call is not None and call.state is CallState.STANDING and call.attempt is not None:
             self._calls.ended(call.attempt, release_ending(told["cause"]))
 
+    def tell_standing(self, call: Call) -> Packet:
+        """What the other process is to know of a call that stands, should this one end before it."""
+        assert call.attempt is not None
+        request, uri = call.request, getattr(call.caller, "uri", "")
+        return {"id": request.id, "server": call.attempt.server, "class": request.class_name, "uri": uri}
+
     def _gone(self) -> None:
-        """The other process has ended: nothing more comes of what was open there."""
+        """The other process has ended: calls that stood there are ours, nothing comes of the others."""
         self._succeeds = False
+        for call_id, told in self.twin.standing.items():
+            carriers = [known for known in self._adopted.values() if call_id in known.elsewhere]
+            self._front.adopt_call(told, carriers[0] if carriers else None)
         for connection in self._adopted.values():
             connection.elsewhere.clear()
         self._adopted.clear()
--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/net/platform_front.py
@@ -6,7 +6,7 @@
 import gc
 import json
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from tornado.ioloop import PeriodicCallback
@@ -32,7 +32,7 @@
     write_request,
     write_response,
 )
-from .statuses import NORMAL_CLEARING, platform_status, release_cause
+from .statuses import INTERWORKING_CUT, NORMAL_CLEARING, platform_status, release_cause
 from .streams import (
     MESSAGE_MOST,
     WRITE_BUFFER_MOST,
@@ -45,7 +45,7 @@
     gathered_write,
     quiet,
 )
-from .twin import Twin
+from .twin import Packet, Twin
 
 log = logging.getLogger(__name__)
 
@@ -99,18 +99,21 @@
     """The caller's side of one call: what its answer and its release repeat."""
 
     def __init__(self, front: PlatformFront, connection: Connection, invite: Message) -> None:
-        self.front, self.connection = front, connection
+        self.front = front
+        self.connection: Connection | None = connection
         self.headers = copied_headers(invite)
         self.uri = invite.uri
 
     def answer(self, call: Call, answer: FinalAnswer) -> None:
         """Write the final answer on the connection of the set-up."""
-        if call.request.id in self.connection.unanswered and self.connection.open:
+        connection = self.connection
+        assert connection is not None, "an adopted call has had its answer"
+        if call.request.id in connection.unanswered and connection.open:
             self.front.note_answered(call.request.id)
-        self.connection.unanswered.discard(call.request.id)
+        connection.unanswered.discard(call.request.id)
         extra: list[Header] = []
         if answer.verdict is Verdict.STANDS:
-            self.connection.standing.add(call.request.id)
+            connection.standing.add(call.request.id)
             parts = write_response(200, self.headers, extra, answer.description.encode("utf-8", "replace"))
         else:
             status = platform_status(answer)
@@ -118,15 +121,28 @@
                 extra = [("P-Gap-Ms", str(-(-answer.retry_after // MILLISECOND)))]
             parts = write_response(status, self.headers, extra)
             self.front.over.add(call.request.id)  # late word on its attempts must not reach the caller
-        self.connection.write(parts)
-        self.front.leave(self.connection)
+        connection.write(parts)
+        self.front.leave(connection)
+
+    def ended(self, call: Call) -> None:
+        """The call does not stand on its connection any more."""
+        if self.connection is not None:
+            self.connection.standing.discard(call.request.id)
 
     def release(self, call: Call, ending: Ending) -> None:
         """Send the release on the connection of the set-up, else on any."""
-        self.connection.standing.discard(call.request.id)
+        self.ended(call)
         self.front.send_release(call.request.id, self.uri, release_cause(ending), self.connection)
 
 
+class AdoptedCaller(PlatformCaller):
+    """The caller of a call that came to stand in a process before: its connection, where it came over."""
+
+    def __init__(self, front: PlatformFront, connection: Connection | None, uri: str) -> None:
+        self.front, self.uri, self.headers = front, uri, []
+        self.connection = connection
+
+
 class PlatformFront(TCPServer):
     """Listens for callers and turns their messages into calls of the core."""
 
@@ -152,6 +168,7 @@
         self.answered = Recent(4096)  # ids that have had their final answer: they do not come again
         # A release of a call that this process never took.
         self.stray_release: Callable[[str, int], None] = lambda call_id, cause: None
+        self.listed: Callable[[str], bool] = lambda server: True  # whether a log server is on the list
         self.bad_messages = 0
         self._twin = twin
         self._before: dict[str, ClassConfig] = {}  # classes of files before
@@ -162,20 +179,21 @@
         """Nothing is sent again on this wire: what is answered is done."""
         return True
 
-    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
-        """Serve one connection until it closes."""
+    def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> Awaitable[None] | None:
+        """Serve one connection until it closes.
+
+        Its place is found before the next one is accepted: a burst must not use up the descriptors.
+        """
         places = self.handover.places(self._most)
         if len(self.connections) >= places and not self._make_room():
             self._warn_most.warning("refused a connection beyond %d", places)
             stream.close()
-            return
-        await self.serve(self.new_connection(quiet(stream)))
+            return None
+        return self.serve(self.new_connection(quiet(stream)))
 
     async def serve(self, connection: Connection) -> None:
         """Read a connection until it closes."""
         stream = connection.stream
-        stream.max_write_buffer_size = WRITE_BUFFER_MOST
-        self.connections[connection] = None
         try:
             if connection.key:  # what came to the process before, and was not whole there
                 self._take(connection)
@@ -208,7 +226,10 @@
 
     def new_connection(self, stream: IOStream) -> Connection:
         """A connection that opens now."""
-        return Connection(stream, self._clock())
+        connection = Connection(stream, self._clock())
+        stream.max_write_buffer_size = WRITE_BUFFER_MOST
+        self.connections[connection] = None
+        return connection
 
     def trim(self) -> None:
         """There are fewer places from now on."""
@@ -261,6 +282,16 @@
         self._before |= self._classes
         self._classes = classes
 
+    def adopt_call(self, told: Packet, connection: Connection | None) -> None:
+        """A call stood in the process before, which has ended: its release is ours."""
+        if not self.listed(told["server"]):  # it went with its log server
+            self.send_release(told["id"], told["uri"], INTERWORKING_CUT, connection)
+            return
+        request = Request(told["id"], -1, told["class"], "", timedelta(0), self._clock())
+        if connection is not None:
+            connection.standing.add(request.id)
+        self._calls.adopt(request, told["server"], AdoptedCaller(self, connection, told["uri"]))
+
     def note_answered(self, call_id: str) -> None:
         """The id has had its final answer: it does not come again, here or in the other process."""
         self.answered.add(call_id)
@@ -435,7 +466,7 @@
         if call is not None and self._calls.caller_released(call_id, cause):
             self.over.add(call_id)
             if isinstance(call.caller, PlatformCaller):
-                call.caller.connection.standing.discard(call_id)
+                call.caller.ended(call)
         elif call is None and call_id in self._twin.ids:
             self._twin.send("bye", id=call_id, cause=cause)
         elif not self.over.holds(call_id) and call is None:
--- a/mallowquay/net/sip/transport.py
+++ b/mallowquay/net/sip/transport.py
@@ -4,7 +4,7 @@
 
 import logging
 import socket
-from collections.abc import Callable, Set
+from collections.abc import Awaitable, Callable, Set
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -188,18 +188,27 @@
             return
         waiting = self._coming.pop(address)
         connection = self._out[address] = Connection(stream, address, outgoing=True)
+        admitted = self.admit(connection)
         for parts, _ in waiting:
             connection.write(parts)
-        await self.read(connection)
+        if admitted:
+            await self.read(connection)
+        else:
+            del self._out[address]
+            self.lost(address, Ending.CONNECTION_SILENT)
 
     # --- receiving
 
-    async def read(self, connection: Connection) -> None:
-        """Read one connection until it closes or can no longer be followed."""
+    def admit(self, connection: Connection) -> bool:
+        """Find a place for a connection, or close it."""
         if len(self._connections) >= self._most and not self._make_room():
             connection.stream.close()
-            return
+            return False
         self._connections[connection] = None
+        return True
+
+    async def read(self, connection: Connection) -> None:
+        """Read one connection until it closes or can no longer be followed."""
         stream, buffer = connection.stream, connection.buffer
         stream.max_write_buffer_size = WRITE_BUFFER_MOST
         ending: Ending | None = None
@@ -307,8 +316,10 @@
         super().__init__(max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
         self._transport = transport
 
-    async def handle_stream(self, stream: IOStream, address: Address) -> None:
-        await self._transport.read(Connection(quiet(stream), address[:2], outgoing=False))
+    def handle_stream(self, stream: IOStream, address: Address) -> Awaitable[None] | None:
+        connection = Connection(quiet(stream), address[:2], outgoing=False)
+        # Its place is found before the next one is accepted: a burst must not use up the descriptors.
+        return self._transport.read(connection) if self._transport.admit(connection) else None
 
 
 # --- values --------------------------------------------------------------------------------------
--- a/mallowquay/net/twin.py
+++ b/mallowquay/net/twin.py
@@ -135,6 +135,7 @@
         self._wire: Wire | None = None
         self._heard = asyncio.Event()
         self.ids: set[str] = set()  # requests that are open there
+        self.standing: dict[str, Packet] = {}  # of these, what is known of calls that stand
         self.state: Packet | None = None  # what the process before had to tell
         self.tells: Callable[[], Packet] = dict
         self.takes: dict[str, Callable[[Packet], None]] = {}  # by the kind of packet
@@ -230,15 +231,20 @@
         elif kind == "state":
             self.state = packet
             self.ids.update(packet["ids"])
+            self.standing.update((told["id"], told) for told in packet["standing"])
             self._heard.set()
         elif kind == "serves":
             log.info("the successor serves")
             self.succeeded = True
         elif kind == "taken":
             self.ids.add(packet["id"])
+        elif kind == "stands":
+            self.standing[packet["id"]] = packet
         elif kind == "over":
             self.ids.discard(packet["id"])
-            self.takes["over"](packet)
+            self.standing.pop(packet["id"], None)
+            if kind in self.takes:  # the front may be yet to come up
+                self.takes[kind](packet)
         elif kind in self.takes:
             self.takes[kind](packet)
 
@@ -250,6 +256,7 @@
         self._heard.set()
         self.ids.clear()
         self.gone()
+        self.standing.clear()
         if not self.closing:
             self._listen()
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import os
+import resource
+import signal
 import socket
 import tempfile
 import time
@@ -419,6 +421,18 @@
         self.assertEqual(self.log_servers[0].read()["t"], "ack")
         self.set_up("00000000000000f2")
 
+    def test_a_burst_of_connections_uses_up_no_descriptors(self) -> None:
+        limit = 64 + 8 + 16  # the burst alone is more
+        resource.prlimit(self.program.process.pid, resource.RLIMIT_NOFILE, (limit, limit))
+        os.kill(self.program.process.pid, signal.SIGSTOP)
+        for _ in range(120):  # they wait to be accepted, all at once
+            self.other()
+        os.kill(self.program.process.pid, signal.SIGCONT)
+        good = self.other()
+        good.send("OPTIONS", "p")
+        self.assertEqual(good.read()[""], "SIP/2.0 200 OK")
+        self.assertNotIn("Too many open files", self.program.text())
+
     def test_a_slow_writer_outlives_a_crowd_that_says_nothing(self) -> None:
         slow = self.other(b"OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: ")
         began = time.monotonic()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -126,12 +126,18 @@
 
     def test_the_first_is_killed_and_the_successor_serves_on(self) -> None:
         self.set_up("00000000000000d1")
+        self.set_up("00000000000000d3", dest=1)
         second = self.upgrade()
+        self.feed, _ = self.coordinator.accept()
         self.program.terminate()
         self.program.wait_for("the successor takes the connections")
         self.assertIsNone(self.program.process.poll())  # it stays while its call stands
         self.program.process.kill()
         second.wait_for("the other process is gone")
+        self.assertEqual(control_call(self.second_control, "GET", "/stats")[1]["pending"], 2)
+        self.tell(self.log_servers[1], 2)  # what stood there is cut, whoever set it up
+        bye = self.caller.read()
+        self.assertEqual((bye["call-id"], bye["reason"]), ("00000000000000d3", "Q.850;cause=41"))
         self.set_up("00000000000000d2")
         self.log_servers[0].say("down", "00000000000000d1", cause=16)
         self.assertEqual(self.log_servers[0].read()["t"], "ack")
