--- a/quincestand/logic.py
+++ b/quincestand/logic.py
@@ -409,10 +409,10 @@
         return rated
 
     def avoided(self, now: int) -> int:
-        """Of the servers on the list, how many are passed over, drain, or are kept free while cold."""
+        """Of the servers on the list, how many get no call at all: full, silent, draining, cold for now."""
         listed = [view for view in self.servers.values() if view.entry.state is not ServerState.GONE]
-        return sum(not view.usable() or view.silent or now < max(view.pass_until, view.full_until)
-                   or not view.cold_room(now) for view in listed)  # fmt: skip
+        return sum(not view.usable() or view.silent or now < view.full_until or not view.cold_room(now)
+                   for view in listed)  # fmt: skip
 
     def memory(self) -> dict[str, Any]:
         """What a successor on the same clock is to know: ratings, caps, capacities, demand. Plain values."""
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import random
 from dataclasses import replace
 
 from conftest import MS, NORMAL, SECOND, SETTINGS, URGENT, Gateway
 from quincestand import (
-    CallerGone, CallerGroup, Fail, ListKind, Outcome, Refuse, Send, ServerEntry, ServerReport, ServerState,
+    CallerGone, CallerGroup, Fail, ListKind, NewSettings, Outcome, Refuse, Send, ServerEntry, ServerReport,
+    ServerState,
 )  # fmt: skip
 from quincestand.logic import (
     BUCKET_SPAN, CYCLE, CYCLE_MOST, GROWTH, HOLD_OF_AIM, K_CROSSINGS, M_RETURNS, Indicator, LeakyBucket,
@@ -338,3 +340,47 @@
         return actions
 
     assert day() == day()
+
+
+def test_avoided_are_servers_that_get_no_call_at_all(gateway):
+    assert gateway.controller.avoided(gateway.now) == 0
+    gateway.offer()
+    gateway.stands("a", delay=gateway.controller.l1 + MS)  # slow: passed over, but not by urgent calls
+    assert gateway.controller.avoided(gateway.now) == 0
+    gateway.offer(dest=1)
+    gateway.ended("b", Outcome.FULL, full=True)
+    assert gateway.controller.avoided(gateway.now) == 1
+    gateway.list(gateway.entry("a", 0, ServerState.DRAINING), gateway.entry("b", 1))
+    assert gateway.controller.avoided(gateway.now) == 2
+    gateway.passes(gateway.controller.pace.full)
+    assert gateway.controller.avoided(gateway.now) == 1
+
+
+def test_a_successor_goes_on_from_the_memory_of_the_process_before(gateway):
+    for _ in range(4):
+        gateway.offer()
+        gateway.stands("a")
+    gateway.offer(dest=1)
+    gateway.ended("b", Outcome.FULL, full=True)
+    memory = json.loads(json.dumps(gateway.controller.memory()))
+    successor = Gateway(seed=8)
+    successor.now = gateway.now
+    successor.controller.remember(gateway.now, memory)
+    assert successor.controller.ratings(gateway.now) == gateway.controller.ratings(gateway.now)
+    assert successor.controller.demand == gateway.controller.demand > 0
+    assert successor.controller.avoided(gateway.now) == 1
+    assert [send.server for send in successor.offer(dest=1)[:1]] == ["a"]
+
+
+def test_new_settings_leave_ratings_and_open_calls_as_they_are(gateway):
+    gateway.offer()
+    first = gateway.of(Send)[0].server
+    once = replace(SETTINGS, classes=(replace(NORMAL, repeatable=False),), max_attempts=1)
+    before = gateway.controller.ratings(gateway.now)
+    gateway.handle(NewSettings(once))
+    assert gateway.controller.ratings(gateway.now) == before
+    gateway.ended(first, Outcome.RESET)  # a lost attempt of the call that came before is made up for
+    assert gateway.run_timers(SECOND, Send)
+    gateway.offer(dest=1)
+    gateway.ended(gateway.of(Send)[0].server, Outcome.RESET)
+    assert gateway.of(Fail) and not gateway.run_timers(SECOND, Send)
