Lay the network code out by concern, and undo the circle of front and handover

Need: the next subsystems (dimensioning, control service, cells) have no room in one folder net/, and platform_front.py and handover.py imported each other.

Change: moves only. fronts/platform, fronts/sip, membership, controlplane and operation hold what lay in net/; a connection of the platform's callers has a module of its own, and the handover names what it needs of its front as a protocol.

--- a/mallowquay/__main__.py
+++ b/mallowquay/__main__.py
@@ -26,16 +26,16 @@
 from .core.decisions import Decisions
 from .core.figures import Figures
 from .core.model import ListTold
+from .fronts.platform.front import PlatformFront
+from .fronts.platform.servers import PlatformServers
+from .membership.coordinator import Coordinator, read_known, read_servers, tell_servers
 from .net.clock import Metronome, UnixTime, monotonic
-from .net.control import serve as serve_control
-from .net.coordinator import Coordinator, read_known, read_servers, tell_servers
-from .net.operation import Operation
-from .net.platform_front import PlatformFront
-from .net.platform_servers import PlatformServers
-from .net.twin import Twin
+from .operation.control import serve as serve_control
+from .operation.readiness import Operation
+from .operation.twin import Twin
 
 if TYPE_CHECKING:
-    from .net.sip.front import SipFront
+    from .fronts.sip.front import SipFront
 
 log = logging.getLogger("mallowquay")
 
@@ -130,13 +130,13 @@
     def start_sip(self, sip: SipConfig) -> None:
         """Serve SIP over UDP and TCP."""
         # Loaded here: two processes of the platform share one allowance of memory at an upgrade.
-        from .net.consul import Consul
-        from .net.sip.front import SipFront
-        from .net.sip.servers import SipServers
-        from .net.sip.transactions import Timers, Transactions
-        from .net.sip.transport import Transport
-        from .net.xds import Endpoints
-        from .net.xds import serve as serve_xds
+        from .controlplane.xds import Endpoints
+        from .controlplane.xds import serve as serve_xds
+        from .fronts.sip.front import SipFront
+        from .fronts.sip.servers import SipServers
+        from .fronts.sip.transactions import Timers, Transactions
+        from .fronts.sip.transport import Transport
+        from .membership.consul import Consul
 
         chance = random.Random(self.config.seed)
         tag = partial(_tag, chance)
--- /dev/null
+++ b/mallowquay/controlplane/__init__.py
@@ -0,0 +1,1 @@
+"""The module's decisions for other proxies."""
--- a/mallowquay/net/xds.py
+++ b/mallowquay/controlplane/xds.py
@@ -12,7 +12,7 @@
 from tornado.web import Application, RequestHandler
 
 from ..core.model import Level, Rating, Server, ServerStatus
-from .http import BoundedServer
+from ..net.http import BoundedServer
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/mallowquay/fronts/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's front: callers' SIP over TCP, log servers' JSON lines."""
--- a/mallowquay/net/platform_front.py
+++ b/mallowquay/fronts/platform/front.py
@@ -13,14 +13,25 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
-from ..config import ClassConfig
-from ..core.calls import Call, Calls, CallState
-from ..core.model import Clock, Ending, FinalAnswer, Request, Verdict
-from .handover import Handover
-from .operation import Operation
-from .recent import Recent
-from .seldom import Seldom
-from .sip.message import (
+from ...config import ClassConfig
+from ...core.calls import Call, Calls, CallState
+from ...core.model import Clock, Ending, FinalAnswer, Request, Verdict
+from ...net.seldom import Seldom
+from ...net.streams import (
+    MESSAGE_MOST,
+    WRITE_BUFFER_MOST,
+    MessageBuffer,
+    TooLong,
+    at_rest,
+    close_gently,
+    fill,
+    finish_writing,
+    quiet,
+)
+from ...operation.readiness import Operation
+from ...operation.twin import Packet, Twin
+from ..recent import Recent
+from ..sip.message import (
     BadMessage,
     Header,
     Message,
@@ -32,20 +43,9 @@
     write_request,
     write_response,
 )
-from .statuses import INTERWORKING_CUT, NORMAL_CLEARING, platform_status, release_cause
-from .streams import (
-    MESSAGE_MOST,
-    WRITE_BUFFER_MOST,
-    MessageBuffer,
-    TooLong,
-    at_rest,
-    close_gently,
-    fill,
-    finish_writing,
-    gathered_write,
-    quiet,
-)
-from .twin import Packet, Twin
+from ..statuses import INTERWORKING_CUT, NORMAL_CLEARING, platform_status, release_cause
+from .connection import Connection
+from .handover import Handover
 
 log = logging.getLogger(__name__)
 
@@ -63,38 +63,6 @@
 DESCRIPTION_MOST = MESSAGE_MOST - 512  # as it goes on to a log server, escaped, with room for the rest
 
 
-class Connection:
-    """One connection from callers."""
-
-    def __init__(self, stream: IOStream, now: timedelta) -> None:
-        self.stream, self.buffer = stream, MessageBuffer()
-        self.unanswered: set[str] = set()  # set-ups whose answer is due here and nowhere else
-        self.waiting_since: timedelta | None = now  # for the rest of a message; None between messages
-        self.opened_at = now
-        self.standing: set[str] = set()  # calls that were set up here and stand: their releases come here
-        self.spoke = False  # a whole message has come
-        self.bad = 0
-        self.closing = False  # what still comes is not for us
-        self.reading = False  # nothing has been read that is not taken
-        self.key = 0  # of one that the process before has handed over
-        self.elsewhere: set[str] = set()  # calls of the process before that are open on it
-        self.handed: Callable[[list[bytes]], bool] | None = None  # writes where it has been handed to
-
-    @property
-    def open(self) -> bool:
-        """Whether what is written goes anywhere."""
-        return self.handed is not None or not self.stream.closed()
-
-    @property
-    def busy(self) -> bool:
-        """Whether an answer is due here, or a call stands."""
-        return bool(self.unanswered or self.standing or self.elsewhere)
-
-    def write(self, parts: list[bytes]) -> bool:
-        """Send a message; False if the connection is gone."""
-        return gathered_write(self.stream, parts) if self.handed is None else self.handed(parts)
-
-
 class PlatformCaller:
     """The caller's side of one call: what its answer and its release repeat."""
 
--- a/mallowquay/net/handover.py
+++ b/mallowquay/fronts/platform/handover.py
@@ -5,30 +5,62 @@
 import asyncio
 import base64
 import socket
+from collections.abc import Coroutine
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 from tornado.iostream import IOStream
 
-from ..config import SOCKETS_KEPT
-from ..core.calls import Call, Calls, CallState
-from .statuses import release_ending
-from .streams import WRITE_BUFFER_MOST
-from .tasks import Tasks
-from .twin import Packet, Twin
-
-if TYPE_CHECKING:
-    from .platform_front import Connection, PlatformFront
+from ...config import SOCKETS_KEPT
+from ...core.calls import Call, Calls, CallState
+from ...net.streams import WRITE_BUFFER_MOST
+from ...net.tasks import Tasks
+from ...operation.twin import Packet, Twin
+from ..recent import Recent
+from ..statuses import release_ending
+from .connection import Connection
 
 MICROSECOND = timedelta(microseconds=1)
 HAND_AGAIN = timedelta(milliseconds=20)
 PLACES_LEAST = 8
 
 
+class Host(Protocol):
+    """The front whose connections are handed over."""
+
+    connections: dict[Connection, None]
+    answered: Recent
+    over: Recent
+
+    def serve(self, connection: Connection) -> Coroutine[Any, Any, None]:
+        """Read a connection until it closes."""
+
+    def new_connection(self, stream: IOStream) -> Connection:
+        """A connection that opens now."""
+
+    def trim(self) -> None:
+        """There are fewer places from now on."""
+
+    def give_up(self, connection: Connection) -> None:
+        """Nobody is left to answer on it."""
+
+    def adopt_call(self, told: Packet, connection: Connection | None) -> None:
+        """A call stood in the process before, which has ended."""
+
+    def cancel(self, call_id: str) -> None:
+        """A caller gives a set-up up."""
+
+    def caller_released(self, call_id: str, cause: int) -> None:
+        """A caller ends a call that stands."""
+
+    def send_release(self, call_id: str, uri: str, cause: int, first: Connection | None = None) -> None:
+        """BYE for a call that is over."""
+
+
 class Handover:
     """Hands the front's connections to the successor, and takes those of the process before."""
 
-    def __init__(self, front: PlatformFront, calls: Calls, twin: Twin) -> None:
+    def __init__(self, front: Host, calls: Calls, twin: Twin) -> None:
         self._front, self._calls, self.twin = front, calls, twin
         self._next_key = 0
         self._handed: dict[int, Connection] = {}  # to the successor, by key
--- a/mallowquay/net/platform_servers.py
+++ b/mallowquay/fronts/platform/servers.py
@@ -11,12 +11,10 @@
 from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.iostream import IOStream, StreamClosedError
 
-from ..core.calls import Calls, CallState
-from ..core.model import Attempt, Clock, Ending, Load, Server, ServerStatus
-from .load import read_load
-from .roster import Roster
-from .statuses import INTERWORKING_CUT, release_ending
-from .streams import (
+from ...core.calls import Calls, CallState
+from ...core.model import Attempt, Clock, Ending, Load, Server, ServerStatus
+from ...membership.roster import Roster
+from ...net.streams import (
     ConnectFailed,
     MessageBuffer,
     TooLong,
@@ -26,7 +24,9 @@
     open_stream,
     when_written,
 )
-from .tasks import Tasks
+from ...net.tasks import Tasks
+from ..load import read_load
+from ..statuses import INTERWORKING_CUT, release_ending
 
 log = logging.getLogger(__name__)
 
--- a/mallowquay/net/sip/front.py
+++ b/mallowquay/fronts/sip/front.py
@@ -12,7 +12,7 @@
 from ...config import OTHER, ClassConfig, SipConfig
 from ...core.calls import Call, Calls
 from ...core.model import Clock, Ending, FinalAnswer, Request, Verdict
-from ..operation import Operation
+from ...operation.readiness import Operation
 from ..statuses import NORMAL_CLEARING, release_cause, sip_status
 from .dialogs import Dialog, DialogId, id_of_request, of_request
 from .message import (
--- a/mallowquay/net/sip/message.py
+++ b/mallowquay/fronts/sip/message.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from ..streams import MESSAGE_MOST
+from ...net.streams import MESSAGE_MOST
 
 SIP_VERSION = b"SIP/2.0"
 HEADERS_MOST = 128
--- a/mallowquay/net/sip/servers.py
+++ b/mallowquay/fronts/sip/servers.py
@@ -8,8 +8,8 @@
 
 from ...core.calls import Calls
 from ...core.model import Attempt, Clock, Ending, Server, ServerStatus
+from ...membership.roster import Roster
 from ..load import read_load
-from ..roster import Roster
 from ..statuses import ENDINGS, NORMAL_CLEARING, release_ending
 from .dialogs import Dialog, DialogId, id_of_request, of_response
 from .message import BadMessage, Header, Message, q850_cause, write_request
--- a/mallowquay/net/sip/transport.py
+++ b/mallowquay/fronts/sip/transport.py
@@ -15,7 +15,7 @@
 
 from ...config import OTHER
 from ...core.model import Ending
-from ..streams import (
+from ...net.streams import (
     MESSAGE_MOST,
     WRITE_BUFFER_MOST,
     ConnectFailed,
@@ -29,7 +29,7 @@
     open_stream,
     quiet,
 )
-from ..tasks import Tasks
+from ...net.tasks import Tasks
 from .message import SIP_VERSION, BadMessage, Header, Message, copied_headers, parse, write_response
 
 log = logging.getLogger(__name__)
--- a/mallowquay/net/consul.py
+++ b/mallowquay/membership/consul.py
@@ -16,7 +16,7 @@
 
 from ..config import OTHER, ConsulConfig
 from ..core.model import ListTold, Server, ServerStatus
-from .clock import UnixTime
+from ..net.clock import UnixTime
 
 log = logging.getLogger(__name__)
 
--- a/mallowquay/net/coordinator.py
+++ b/mallowquay/membership/coordinator.py
@@ -13,8 +13,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from ..core.model import ListTold, Server, ServerStatus
-from .clock import UnixTime
-from .streams import ConnectFailed, open_stream
+from ..net.clock import UnixTime
+from ..net.streams import ConnectFailed, open_stream
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/mallowquay/operation/__init__.py
@@ -0,0 +1,1 @@
+"""Readiness, the second address, and two processes at an upgrade."""
--- a/mallowquay/net/control.py
+++ b/mallowquay/operation/control.py
@@ -9,8 +9,8 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
-from .http import BoundedServer
-from .operation import Operation
+from ..net.http import BoundedServer
+from .readiness import Operation
 
 PLACES = 16  # connections at once, of the descriptors that config.SOCKETS_KEPT keeps
 CALL_WITHIN = timedelta(seconds=5)  # a connection that finishes no call by then is closed
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -18,10 +18,10 @@
 from support import WAIT, Process, connect, free_port
 from test_sip import Peer, udp
 
+from mallowquay.controlplane.xds import PATH, TYPE, BadRequest, Endpoints
 from mallowquay.core.model import Level, Rating, Server, ServerStatus
+from mallowquay.membership.consul import ConsulFault, read_instances, status_of
 from mallowquay.net.clock import UnixTime
-from mallowquay.net.consul import ConsulFault, read_instances, status_of
-from mallowquay.net.xds import PATH, TYPE, BadRequest, Endpoints
 
 
 class StandInConsul(ThreadingHTTPServer):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,8 +5,8 @@
 import copy
 import tempfile
 import unittest
-from math import inf, nan
 from datetime import timedelta
+from math import inf, nan
 
 from support import ROOT, SETTINGS
 
@@ -28,8 +28,8 @@
     Stood,
     Verdict,
 )
-from mallowquay.net.platform_servers import ending_of
-from mallowquay.net.statuses import ENDINGS, STATUSES
+from mallowquay.fronts.platform.servers import ending_of
+from mallowquay.fronts.statuses import ENDINGS, STATUSES
 from quincestand import Outcome
 from quincestand.wire import read_settings
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -16,7 +16,7 @@
 from support import CLASS, SETTINGS, WAIT, Caller, Process, connect, free_port, receive
 from test_platform import PlatformCase
 
-from mallowquay.net.control import PLACES
+from mallowquay.operation.control import PLACES
 
 
 class ControlCase(PlatformCase):
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -7,12 +7,12 @@
 from datetime import timedelta
 
 from mallowquay.core.model import ListTold, ServerStatus
+from mallowquay.fronts.load import read_load
+from mallowquay.fronts.sip.dialogs import of_request, of_response
+from mallowquay.fronts.sip.message import BadMessage, Message, parse, q850_cause, user_of
+from mallowquay.fronts.sip.transport import Hop, hop_of, parameter, split_values, stamped
+from mallowquay.membership.coordinator import RECORD, Coordinator, FeedError, read_known, read_records
 from mallowquay.net.clock import UnixTime
-from mallowquay.net.coordinator import RECORD, Coordinator, FeedError, read_known, read_records
-from mallowquay.net.load import read_load
-from mallowquay.net.sip.dialogs import of_request, of_response
-from mallowquay.net.sip.message import BadMessage, Message, parse, q850_cause, user_of
-from mallowquay.net.sip.transport import Hop, hop_of, parameter, split_values, stamped
 from mallowquay.net.streams import MESSAGE_MOST, MessageBuffer, TooLong
 
 INVITE = (
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,8 +18,8 @@
 from tornado.iostream import IOStream
 
 from mallowquay.core.model import Ending, ListTold, Server, ServerStatus
-from mallowquay.net.coordinator import FRAME, RECORD
-from mallowquay.net.platform_servers import PlatformServers
+from mallowquay.fronts.platform.servers import PlatformServers
+from mallowquay.membership.coordinator import FRAME, RECORD
 
 
 class PlatformCase(unittest.TestCase):
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -12,9 +12,9 @@
 from support import WAIT, Process, connect, receive
 
 from mallowquay.core.model import Ending
-from mallowquay.net.sip.message import Message, parse
-from mallowquay.net.sip.transactions import InviteClient, State, Timers, Transactions
-from mallowquay.net.sip.transport import Hop
+from mallowquay.fronts.sip.message import Message, parse
+from mallowquay.fronts.sip.transactions import InviteClient, State, Timers, Transactions
+from mallowquay.fronts.sip.transport import Hop
 
 
 class Peer:
--- a/tests/test_twin.py
+++ b/tests/test_twin.py
@@ -11,8 +11,8 @@
 from tornado.ioloop import IOLoop
 
 from mallowquay.config import SOCKETS_KEPT
-from mallowquay.net.handover import Handover
-from mallowquay.net.twin import Packet, Wire
+from mallowquay.fronts.platform.handover import Handover
+from mallowquay.operation.twin import Packet, Wire
 
 
 class WireTest(unittest.IsolatedAsyncioTestCase):
