--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 build:
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(VENV)/bin/pip -q install -r requirements.txt
+	$(VENV)/bin/pip -q install --no-deps -e .
 
 dev: build
 	$(VENV)/bin/pip -q install -r requirements-dev.txt
--- a/mallowquay/config.py
+++ b/mallowquay/config.py
@@ -5,17 +5,21 @@
 import json
 import secrets
 import tomllib
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from math import isfinite
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from quincestand import Settings
 from quincestand.wire import read_settings
 
 from .core.model import Server, ServerStatus
 
+if TYPE_CHECKING:
+    from . import schema
+    from .schema import OperatorFile
+
 MICROSECOND, MILLISECOND = timedelta(microseconds=1), timedelta(milliseconds=1)
 OTHER = {"udp": "tcp", "tcp": "udp"}
 
@@ -90,6 +94,14 @@
     cluster: str
 
 
+@dataclass(frozen=True, slots=True)
+class TrafficConfig:
+    """The record of what the core sees."""
+
+    file: str
+    interval: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that the program is told."""
@@ -108,10 +120,11 @@
     consul: ConsulConfig | None = None
     xds: XdsConfig | None = None
     control: tuple[str, int] | None = None  # the second address
+    traffic: TrafficConfig | None = None
     keys: dict[str, str] = field(default_factory=dict)  # of the file, but for those of its lists, with kinds
 
 
-AT_START_ONLY = ("seed", "sockets", "consul", "xds", "control", "end_margin", "guard_margin")
+AT_START_ONLY = ("seed", "sockets", "consul", "xds", "control", "traffic", "end_margin", "guard_margin")
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -225,120 +238,140 @@
 
 DEFAULT_RULES = {"drainGrace": 500_000, "coldFrom": 0.29, "cold": 15_000_000, "fallMultiple": 3.0}
 DEFAULT_RULES |= {"fall": 3_000_000}
-TOP_KEYS = {"sip", "classes", "servers", "limits", "gatekeepers", "seed", "consul", "xds", "control"}
-CONSUL_KEYS = {"address", "service", "datacenter", "token_file", "wait_ms"}
-XDS_KEYS = {"listen", "cluster"}
-SIP_KEYS = {"udp", "tcp", "default_class", "t1_ms", "t2_ms", "t4_ms", "calls_most", "transactions_most"}
-CLASS_KEYS = {"name", "aim_ms", "deadline_ms", "worth", "late_worth", "hold_ms"}
-SERVER_KEYS = {"id", "address", "number", "transport"}
-LIMIT_KEYS = {"sockets", "attempts", "retry_after_ms", "release_wait_ms", "connect_timeout_ms"}
 
 
 def load_operator(path: str) -> Config:
     """The configuration of an operator's file."""
+    return operator_config(_parse(path))
+
+
+def described(path: str) -> str:
+    """An operator's file as the program takes it, with every default, once it is found usable."""
+    from . import schema
+
+    document = _parse(path)
+    operator_config(document)
+    return schema.as_toml(schema.convert(document))
+
+
+def _parse(path: str) -> dict[str, Any]:
     try:
         with open(path, "rb") as file:
-            document = tomllib.load(file)
+            return tomllib.load(file)
     except OSError as fault:
         raise ConfigError(f"{path}: {fault.strerror}") from fault
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
         raise ConfigError(f"{path} is not TOML: {fault}") from fault
-    return operator_config(document)
 
 
 def operator_config(document: dict[str, Any]) -> Config:
     """Check an operator's file: every key in it must be known."""
-    known(document, TOP_KEYS, "")
-    classes = want(document, "classes", list)
-    limits = document.get("limits", {})
-    known(limits, LIMIT_KEYS, "limits.")
-    services = [_service(kind, f"classes.{index}.") for index, kind in enumerate(classes)]
-    names = [service["name"] for service in services]
-    settings = {
-        "groupSize": count(document, "gatekeepers", 1, ""),
-        "services": services,
+    from . import schema  # the platform's run line has no such file, and does not pay for its library
+
+    try:
+        file = schema.convert(document)
+    except schema.SchemaFault as fault:
+        raise ConfigError(str(fault)) from None
+    settings = _module_settings(file)
+    sip = _sip(file)
+    if file.consul is None and not sip.servers:
+        raise ConfigError("servers: none is given, and there is no consul to name them")
+    if file.consul is not None and sip.servers:
+        raise ConfigError("servers and consul exclude each other: one source names the log servers")
+    whole_file = common(
+        settings,
+        read_seed(file.seed or f"{secrets.randbits(64):x}"),
+        file.limits.sockets,
+        sip=sip,
+        consul=None if file.consul is None else _consul(file.consul),
+        xds=None if file.xds is None else XdsConfig(address(file.xds.listen, "xds.listen"), file.xds.cluster),
+    )
+    traffic = None if file.traffic is None else _traffic(file.traffic.file, file.traffic.interval_ms)
+    control = None if file.control is None else address(file.control, "control")
+    return replace(whole_file, control=control, traffic=traffic, keys=dict(_keys(document)))
+
+
+def _traffic(file: str, interval_ms: int) -> TrafficConfig:
+    return TrafficConfig(file, interval_ms * MILLISECOND)
+
+
+def _module_settings(file: OperatorFile) -> dict[str, Any]:
+    """What the module is told: an operator's file in the form of the platform's settings."""
+    for index, kind in enumerate(file.classes):
+        for key in ("worth", "late_worth"):
+            if not isfinite(getattr(kind, key)):
+                raise ConfigError(f"classes.{index}.{key} must be a number, not {getattr(kind, key)}")
+        for key in ("aim_ms", "deadline_ms"):
+            if getattr(kind, key) > SPAN_MOST // 1000:
+                raise ConfigError(f"classes.{index}.{key} must be {SPAN_MOST // 1000} at most")
+    names = [kind.name for kind in file.classes]
+    if not names:
+        raise ConfigError("classes: none is given")
+    if len(set(names)) < len(names):
+        raise ConfigError("classes: a name is given twice")
+    if file.limits.attempts > ATTEMPTS_MOST:
+        raise ConfigError(f"limits.attempts must be {ATTEMPTS_MOST} at most")
+    return {
+        "groupSize": file.gatekeepers,
+        "services": [
+            {
+                "name": kind.name,
+                "onTime": 1000 * kind.aim_ms,
+                "deadline": 1000 * kind.deadline_ms,
+                "worth": kind.worth,
+                "lateWorth": kind.late_worth,
+                "effect": "read_like",
+            }
+            for kind in file.classes
+        ],
         "overShareWorth": 1.0,
         "registryMode": "pushed",
         "limits": {
-            "mostTries": count(limits, "attempts", 4, "limits."),
+            "mostTries": file.limits.attempts,
             "retryAfter": True,
-            "maxRetryAfter": 1000 * count(limits, "retry_after_ms", 2000, "limits."),
+            "maxRetryAfter": 1000 * file.limits.retry_after_ms,
             "mayProbe": False,
             "cancelling": True,
-            "dialTimeout": 1000 * count(limits, "connect_timeout_ms", 500, "limits."),
+            "dialTimeout": 1000 * file.limits.connect_timeout_ms,
         },
         "telemetry": {"fields": ["free", "size", "hold_back"]},
         "extra": {
             "layout": "pools",
             "repeat": 0,
-            "release": 1000 * count(limits, "release_wait_ms", 300, "limits."),
-            "meanHold": [service["hold"] for service in services],
+            "release": 1000 * file.limits.release_wait_ms,
+            "meanHold": [1000 * kind.hold_ms for kind in file.classes],
         },
         "rules": DEFAULT_RULES,
     }
-    sip = _sip(want(document, "sip", dict), document, names)
-    sockets = count(limits, "sockets", DEFAULT_SOCKETS, "limits.")
-    consul = _consul(document["consul"]) if "consul" in document else None
-    if consul is None and not sip.servers:
-        raise ConfigError("servers: none is given, and there is no consul to name them")
-    if consul is not None and sip.servers:
-        raise ConfigError("servers and consul exclude each other: one source names the log servers")
-    xds = _xds(document["xds"]) if "xds" in document else None
-    seed = read_seed(document.get("seed") or f"{secrets.randbits(64):x}")
-    control = address(want(document, "control", str), "control") if "control" in document else None
-    whole_file = common(settings, seed, sockets, sip=sip, consul=consul, xds=xds)
-    return replace(whole_file, control=control, keys=dict(_keys(document)))
 
 
-def _consul(table: Any) -> ConsulConfig:
-    known(table, CONSUL_KEYS, "consul.")
+def _consul(table: schema.Consul) -> ConsulConfig:
     token = ""
-    if "token_file" in table:
-        path = want(table, "token_file", str, "consul.")
+    if table.token_file is not None:
         try:
-            with open(path, encoding="utf-8") as file:
+            with open(table.token_file, encoding="utf-8") as file:
                 token = file.read().strip()
         except (OSError, UnicodeDecodeError) as fault:
-            raise ConfigError(f"consul.token_file: {path}: {fault}") from fault
+            raise ConfigError(f"consul.token_file: {table.token_file}: {fault}") from fault
     return ConsulConfig(
-        address=address(want(table, "address", str, "consul."), "consul.address"),
-        service=want(table, "service", str, "consul."),
-        datacenter=want(table, "datacenter", str, "consul.") if "datacenter" in table else "",
+        address=address(table.address, "consul.address"),
+        service=table.service,
+        datacenter=table.datacenter,
         token=token,
-        wait=count(table, "wait_ms", 60_000, "consul.") * MILLISECOND,
+        wait=table.wait_ms * MILLISECOND,
     )
 
 
-def _xds(table: Any) -> XdsConfig:
-    known(table, XDS_KEYS, "xds.")
-    return XdsConfig(
-        listen=address(want(table, "listen", str, "xds."), "xds.listen"),
-        cluster=want(table, "cluster", str, "xds.") if "cluster" in table else "log-servers",
-    )
-
-
-def _service(kind: Any, above: str) -> dict[str, Any]:
-    known(kind, CLASS_KEYS, above)
-    return {
-        "name": want(kind, "name", str, above),
-        "onTime": 1000 * count(kind, "aim_ms", None, above),
-        "deadline": 1000 * count(kind, "deadline_ms", None, above),
-        "worth": kind.get("worth", 1.0),
-        "lateWorth": kind.get("late_worth", 0.0),
-        "effect": "read_like",
-        "hold": 1000 * count(kind, "hold_ms", 10_000, above),
-    }
-
-
-def _sip(table: dict[str, Any], document: dict[str, Any], names: list[str]) -> SipConfig:
-    known(table, SIP_KEYS, "sip.")
-    listen = {key: address(want(table, key, str, "sip."), f"sip.{key}") for key in OTHER if key in table}
+def _sip(file: OperatorFile) -> SipConfig:
+    table = file.sip
+    given = {"udp": table.udp, "tcp": table.tcp}
+    listen = {key: address(value, f"sip.{key}") for key, value in given.items() if value is not None}
     if not listen:
         raise ConfigError("sip.udp or sip.tcp must be given")
-    default_class = table.get("default_class", names[0] if names else "")
-    if default_class not in names:
+    default_class = table.default_class if table.default_class is not None else file.classes[0].name
+    if default_class not in [kind.name for kind in file.classes]:
         raise ConfigError(f"sip.default_class names no class: {default_class!r}")
-    entries = [_server(entry, index) for index, entry in enumerate(document.get("servers", []))]
+    entries = [_server(entry, index) for index, entry in enumerate(file.servers)]
     for index, server in enumerate(entries):
         if server.transport not in listen:  # its requests to us would find nobody
             raise ConfigError(f"servers.{index}.transport: sip.{server.transport} is off")
@@ -348,43 +381,19 @@
         udp=listen.get("udp"),
         tcp=listen.get("tcp"),
         default_class=default_class,
-        t1=count(table, "t1_ms", 500, "sip.") * MILLISECOND,
-        t2=count(table, "t2_ms", 4000, "sip.") * MILLISECOND,
-        t4=count(table, "t4_ms", 5000, "sip.") * MILLISECOND,
-        calls_most=count(table, "calls_most", 8_000, "sip."),
-        transactions_most=count(table, "transactions_most", 24_000, "sip."),
+        t1=table.t1_ms * MILLISECOND,
+        t2=table.t2_ms * MILLISECOND,
+        t4=table.t4_ms * MILLISECOND,
+        calls_most=table.calls_most,
+        transactions_most=table.transactions_most,
         servers=tuple(entries),
     )
 
 
-def _server(entry: Any, index: int) -> Server:
-    above = f"servers.{index}."
-    known(entry, SERVER_KEYS, above)
-    transport = entry.get("transport", "udp")
-    if transport not in OTHER:
-        raise ConfigError(f"{above}transport must be udp or tcp, not {transport!r}")
-    where = address(want(entry, "address", str, above), f"{above}address")
-    number = entry.get("number", index)
-    if not isinstance(number, int) or isinstance(number, bool):
-        raise ConfigError(f"{above}number must be int, not {number!r}")
-    return Server(want(entry, "id", str, above), where, number, ServerStatus.READY, transport=transport)
-
-
-def known(table: Any, keys: set[str], above: str) -> None:
-    """Only keys that mean something: a misspelt one must not pass for its default."""
-    if not isinstance(table, dict):
-        raise ConfigError(f"{above.rstrip('.')} must be a table")
-    for key in table:
-        if key not in keys:
-            raise ConfigError(f"{above}{key} is not known")
-
-
-def count(table: dict[str, Any], key: str, default: int | None, above: str) -> int:
-    """A whole number above 0."""
-    value = want(table, key, int, above) if default is None else table.get(key, default)
-    if not isinstance(value, int) or isinstance(value, bool) or value <= 0:
-        raise ConfigError(f"{above}{key} must be a whole number above 0, not {value!r}")
-    return value
+def _server(entry: schema.LogServer, index: int) -> Server:
+    where = address(entry.address, f"servers.{index}.address")
+    number = index if entry.number is None else entry.number
+    return Server(entry.id, where, number, ServerStatus.READY, transport=entry.transport.value)
 
 
 def check_numbers(settings: dict[str, Any]) -> None:
@@ -474,7 +483,7 @@
     return "" if value is None else str(value).replace(" ", "_").replace(",", "_").replace("\n", "_")
 
 
-def of_process(arguments: list[str], environment: Mapping[str, str]) -> Config:
+def of_process(arguments: Sequence[str], environment: Mapping[str, str]) -> Config:
     """The configuration of this process: an operator's file if one is named, else the platform's."""
     if len(arguments) > 1:
         raise ConfigError(f"one file at most, not {len(arguments)}")
@@ -504,6 +513,7 @@
         ("consul", before.consul, after.consul),
         ("xds", before.xds, after.xds),
         ("control", before.control, after.control),
+        ("traffic", before.traffic, after.traffic),
     ]
     if before.platform is not None and after.platform is not None:
         pairs.append(("listen", before.platform.listen, after.platform.listen))
--- a/mallowquay/controlplane/xds.py
+++ b/mallowquay/controlplane/xds.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import json
-import logging
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
+import structlog
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from ..core.model import Level, Rating, Server, ServerStatus
 from ..net.http import BoundedServer
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part=__name__)
 
 TYPE = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
 PATH = "/v3/discovery:endpoints"
@@ -62,7 +62,7 @@
         fault = _field(request, "error_detail", "errorDetail")
         if fault and _field(request, "response_nonce", "responseNonce") == version:
             self.refused += 1
-            log.warning("xDS: version %s was refused: %s", version, str(fault)[:200])
+            log.warning("xds_version_refused", version=version, fault=str(fault)[:200])
             return None
         if _field(request, "version_info", "versionInfo") == version:
             return None
--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import heapq
-import logging
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
@@ -11,6 +10,8 @@
 from itertools import count
 from typing import Protocol
 
+import structlog
+
 from .decisions import Decisions
 from .figures import Figures
 from .model import (
@@ -32,7 +33,7 @@
     Withdraw,
 )
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part=__name__)
 
 Job = Callable[[], list[Decision]]
 
@@ -280,7 +281,7 @@
     def _overdue(self, call: Call) -> None:
         if call.state not in (CallState.WAITING, CallState.TRYING):
             return
-        log.warning("call %s found no decision before its end", call.request.id)
+        log.warning("call_undecided", call=call.request.id, call_class=call.request.class_name)
         attempt = call.attempt
         self._finish(call, FinalAnswer(Verdict.FAILED, retry_after=self._gap, timed_out=True))
         self._do(lambda: self._decisions.report(CallerLeft(call.request.id)))
@@ -330,7 +331,7 @@
         now = self._clock()
         attempt = Attempt(call.request, decision.index, decision.server, now, decision.wait)
         if call.state is not CallState.WAITING:  # never two attempts out, whatever was decided
-            log.error("call %s: an attempt was asked for in state %s", call.request.id, call.state.value)
+            log.error("attempt_out_of_turn", call=call.request.id, state=call.state.name)
             self._do(lambda: self._decisions.report(Ended(attempt, Ending.MOOT, closed=False)))
             return
         call.attempt, call.state = attempt, CallState.TRYING
--- a/mallowquay/core/decisions.py
+++ b/mallowquay/core/decisions.py
@@ -6,10 +6,11 @@
 from __future__ import annotations
 
 import heapq
-import logging
 from datetime import timedelta
 from typing import Any
 
+import structlog
+
 from quincestand import (
     Action,
     AttemptEnded,
@@ -56,7 +57,7 @@
     Withdraw,
 )
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part=__name__)
 
 MICROSECOND = timedelta(microseconds=1)
 
@@ -266,5 +267,5 @@
             case CancelAttempt(call, attempt):
                 return Withdraw(self._names[call], attempt)
             case Log(text):
-                log.info("%s", text)
+                log.info("module_says", text=text)
         return None
--- a/mallowquay/fronts/platform/front.py
+++ b/mallowquay/fronts/platform/front.py
@@ -5,10 +5,10 @@
 import asyncio
 import gc
 import json
-import logging
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
+import structlog
 from tornado.ioloop import PeriodicCallback
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
@@ -47,7 +47,7 @@
 from .connection import Connection
 from .handover import Handover
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part=__name__)
 
 MILLISECOND = timedelta(milliseconds=1)
 # A connection that has brought no whole message, or half of one, by then is closed: 3 s are allowed, and
@@ -154,7 +154,7 @@
         """
         places = self.handover.places(self._most)
         if len(self.connections) >= places and not self._make_room():
-            self._warn_most.warning("refused a connection beyond %d", places)
+            self._warn_most.warning("connection_refused", places=places)
             stream.close()
             return None
         return self.serve(self.new_connection(quiet(stream)))
@@ -228,7 +228,7 @@
         spoke = [known for known in rest if known.spoke]
         crowded = begun if len(begun) > self.handover.places(self._most) // 2 else []
         least = (old or spoke or crowded or rest or begun)[0]
-        self._warn_most.warning("closed an idle connection: there are %d", len(self.connections))
+        self._warn_most.warning("idle_connection_closed", open=len(self.connections))
         del self.connections[least]  # its place is free at once
         least.stream.close()
         return True
@@ -281,7 +281,7 @@
 
     def _bad(self, fault: Exception) -> None:
         self.bad_messages += 1
-        self._warn_bad.warning("a caller's connection is closed: %s", fault)
+        self._warn_bad.warning("caller_connection_closed", fault=str(fault))
 
     def _reply_bad(self, connection: Connection, fault: BadMessage) -> None:
         if fault.message is not None and fault.message.method and fault.message.method != "ACK":
@@ -307,7 +307,7 @@
                 if connection.bad >= BAD_MOST:
                     raise
                 self.bad_messages += 1
-                self._warn_bad.warning("bad message from a caller: %s", fault)
+                self._warn_bad.warning("caller_message_bad", fault=str(fault))
                 self._reply_bad(connection, fault)
         if connection.spoke:
             self.connections[connection] = self.connections.pop(connection)
@@ -361,7 +361,7 @@
             raise BadMessage(482, "the id is taken", message)
         elif known is not None and not same_call(known.request, request):
             # Which of the two is meant cannot be told, and an id has one answer: neither is carried out.
-            log.info("call %s came twice with different contents", call_id)
+            log.info("call_contradicts_itself", call=call_id)
             self._calls.refuse(call_id)
         # else sent again as it was: it will have its answer
 
@@ -419,7 +419,7 @@
         self.over.add(call_id)
         if not self._calls.caller_left(call_id) and call.state is CallState.STANDING:
             # It crossed our answer: the caller has gone, so the call must not stand on.
-            log.info("call %s was cancelled as its answer left; it is released", call_id)
+            log.info("cancel_crossed_answer", call=call_id)
             self._calls.caller_released(call_id, NORMAL_CLEARING)
             call.caller.release(call, Ending.COMPLETED)
 
--- a/mallowquay/fronts/platform/servers.py
+++ b/mallowquay/fronts/platform/servers.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import json
-import logging
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
+import structlog
 from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -28,7 +28,7 @@
 from ..load import read_load
 from ..statuses import INTERWORKING_CUT, release_ending
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part=__name__)
 
 MILLISECOND = timedelta(milliseconds=1)
 LOOK_AGAIN = timedelta(milliseconds=500)  # a lost connection is tried anew
@@ -183,7 +183,7 @@
             ending = close_ending(stream)
         except (TooLong, Unreadable) as fault:
             self.side.unreadable += 1
-            log.warning("log server %s: %s", self.server.id, fault)
+            log.warning("server_unreadable", server=self.server.id, fault=str(fault))
             ending = Ending.UNREADABLE
         self._broken(stream, ending)
 
@@ -193,7 +193,7 @@
         if self.stream is not stream:
             return
         self.stream = None
-        log.info("log server %s: %s", self.server.id, ending.value)
+        log.info("server_connection_ended", server=self.server.id, ending=ending.name)
         broken, self.open = list(self.open.values()), {}
         for attempt in broken:
             self.side.calls.ended(attempt, ending)
@@ -216,7 +216,7 @@
         now = self.side.clock()
         if self.stream is not None:
             if self.line_since is not None and now - self.line_since >= LINE_WITHIN:
-                log.warning("log server %s: a line is not whole after %s", self.server.id, LINE_WITHIN)
+                log.warning("server_line_not_whole", server=self.server.id, after=str(LINE_WITHIN))
                 self._broken(self.stream, Ending.UNREADABLE)
             elif not self._missed_word(now):
                 self.looks_mute = False
--- a/mallowquay/fronts/sip/front.py
+++ b/mallowquay/fronts/sip/front.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
 
+import structlog
 from tornado.ioloop import PeriodicCallback
 
 from ...config import OTHER, ClassConfig, SipConfig
@@ -34,7 +34,7 @@
 )
 from .transport import Hop, hop_of, parameter
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part=__name__)
 
 SECOND, MILLISECOND = timedelta(seconds=1), timedelta(milliseconds=1)
 ALLOW = ("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")
@@ -109,7 +109,7 @@
             if self.acknowledged or self.over:
                 return
             if self.front.clock() >= until:
-                log.info("a 200 was never acknowledged: its call is released")
+                log.info("answer_never_acknowledged")
                 self.acknowledged = True
                 self.front.calls.caller_released(self.call_id, NORMAL_CLEARING)
                 self.bye(NORMAL_CLEARING if self.bye_due is None else self.bye_due)
--- a/mallowquay/fronts/sip/servers.py
+++ b/mallowquay/fronts/sip/servers.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 from datetime import timedelta
 
+import structlog
+
 from ...core.calls import Calls
 from ...core.model import Attempt, Clock, Ending, Server, ServerStatus
 from ...membership.roster import Roster
@@ -23,7 +24,7 @@
 )
 from .transport import Hop, hop_of
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part=__name__)
 
 SECOND, MILLISECOND = timedelta(seconds=1), timedelta(milliseconds=1)
 
@@ -36,7 +37,7 @@
 
     def unanswered(self, transaction: ClientTransaction, ending: Ending) -> None:
         """Nobody is there any more."""
-        log.debug("%s was not answered: %s", transaction.method, ending.value)
+        log.debug("request_not_answered", method=transaction.method, ending=ending.name)
 
 
 QUIET = Quiet()
--- a/mallowquay/fronts/sip/transport.py
+++ b/mallowquay/fronts/sip/transport.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import logging
 import socket
 from collections.abc import Awaitable, Callable, Set
 from dataclasses import dataclass
 from datetime import timedelta
 
+import structlog
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
@@ -32,7 +32,7 @@
 from ...net.tasks import Tasks
 from .message import SIP_VERSION, BadMessage, Header, Message, copied_headers, parse, write_response
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part=__name__)
 
 Address = tuple[str, int]
 Failed = Callable[[Ending], None]
@@ -159,7 +159,7 @@
         except BlockingIOError:
             pass  # as good as lost on the way: it is sent again
         except OSError as fault:
-            log.info("no datagram to %s:%d: %s", *address, fault)
+            log.info("datagram_not_sent", to="%s:%d" % address, fault=str(fault))
             self._fail(failed, Ending.CONNECTION_REFUSED)
 
     def _send_anew(self, address: Address, parts: list[bytes], failed: Failed | None) -> None:
@@ -225,7 +225,7 @@
         except (TooLong, BadMessage) as fault:
             self.garbage += 1
             ending = Ending.UNREADABLE
-            log.warning("closed the connection of %s:%d: %s", *connection.address, fault)
+            log.warning("connection_closed", of="%s:%d" % connection.address, fault=str(fault))
             if isinstance(fault, BadMessage):
                 self._refuse(fault, Hop("tcp", connection.address, connection))
         finally:
@@ -274,7 +274,7 @@
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as fault:  # word of an earlier datagram that found nobody
-                log.debug("UDP: %s", fault)
+                log.debug("datagram_unreadable", fault=str(fault))
                 continue
             hop = Hop("udp", address)
             try:
--- a/mallowquay/membership/consul.py
+++ b/mallowquay/membership/consul.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import json
-import logging
 import random
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 from urllib.parse import quote, urlencode
 
+import structlog
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
@@ -18,7 +18,7 @@
 from ..core.model import ListTold, Server, ServerStatus
 from ..net.clock import UnixTime
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part=__name__)
 
 CONNECT_WITHIN = timedelta(seconds=5)
 RETRY_LEAST, RETRY_MOST = timedelta(milliseconds=500), timedelta(seconds=15)
@@ -54,7 +54,7 @@
                 self.apply(await self._query())
                 gap = RETRY_LEAST
             except (ConsulFault, HTTPClientError, HTTPStreamClosedError, HTTPTimeoutError, OSError) as fault:
-                log.warning("consul: %s", fault)
+                log.warning("consul_fault", fault=str(fault))
                 self.index = 0  # the next query answers at once, whatever was missed
                 await asyncio.sleep(gap.total_seconds() * (0.5 + self._chance.random()))
                 gap = min(2 * gap, RETRY_MOST)
--- a/mallowquay/membership/coordinator.py
+++ b/mallowquay/membership/coordinator.py
@@ -3,20 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 import struct
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Any
 
+import structlog
 from tornado.iostream import IOStream, StreamClosedError
 
 from ..core.model import ListTold, Server, ServerStatus
 from ..net.clock import UnixTime
 from ..net.streams import ConnectFailed, open_stream
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part=__name__)
 
 FRAME = struct.Struct(">IQB")  # length (of all that follows it), number, kind
 RECORD = struct.Struct(">I4sHBBBHIQ")
@@ -129,15 +129,18 @@
                 continue
             fault = session.exception()
             expected = isinstance(fault, FeedError | ConnectFailed | StreamClosedError | TimeoutError)
-            log.log(logging.INFO if expected else logging.ERROR, "coordinator: %s",
-                    str(fault) or type(fault).__name__, exc_info=None if expected else fault)  # fmt: skip
+            said = str(fault) or type(fault).__name__
+            if expected:
+                log.info("coordinator_session_ended", fault=said)
+            else:
+                log.error("coordinator_session_ended", fault=said, exc_info=fault)
             await asyncio.sleep(RETRY_AFTER.total_seconds())
 
     def move(self, address: tuple[str, int]) -> None:
         """Go on at another address from the number reached, without awaiting the old one's last words."""
         if address == self._address:
             return
-        log.info("coordinator: from %s:%d to %s:%d after event %d", *self._address, *address, self.index)
+        log.info("coordinator_moved", before="%s:%d" % self._address, now="%s:%d" % address, index=self.index)
         self._address = address
         if self._session is not None:
             self._session.cancel()
--- a/mallowquay/membership/roster.py
+++ b/mallowquay/membership/roster.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import logging
+import structlog
 
 from ..core.calls import Calls
 from ..core.model import Attempt, Ending, ListTold, Server, ServerStatus
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part=__name__)
 
 
 class Roster:
@@ -52,7 +52,7 @@
         """Release every call that stood there."""
         standing = self.calls.standing_at(server)
         if standing:
-            log.info("log server %s: %d standing calls are cut: %s", server, len(standing), ending.value)
+            log.info("standing_calls_cut", server=server, calls=len(standing), ending=ending.name)
         for call in standing:
             attempt = call.attempt
             if attempt is not None:
--- a/mallowquay/net/seldom.py
+++ b/mallowquay/net/seldom.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import logging
 from datetime import timedelta
+from typing import Any
 
 from ..core.model import Clock
 
@@ -13,18 +13,18 @@
 class Seldom:
     """Logs what may come thousands of times a second."""
 
-    def __init__(self, log: logging.Logger, clock: Clock) -> None:
+    def __init__(self, log: Any, clock: Clock) -> None:
         self._log, self._clock = log, clock
         self._next: timedelta | None = None
         self._left_out = 0
 
-    def warning(self, text: str, *values: object) -> None:
+    def warning(self, event: str, **fields: object) -> None:
         """Log a warning, or count it."""
         now = self._clock()
         if self._next is not None and now < self._next:
             self._left_out += 1
             return
         if self._left_out:
-            text, values = text + " (and %d like it)", (*values, self._left_out)
+            fields["like_it"] = self._left_out
         self._next, self._left_out = now + GAP, 0
-        self._log.warning(text, *values)
+        self._log.warning(event, **fields)
--- a/mallowquay/net/streams.py
+++ b/mallowquay/net/streams.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 from collections.abc import Callable, Sequence
 from datetime import timedelta
@@ -14,8 +13,6 @@
 
 from ..core.model import Ending
 
-log = logging.getLogger(__name__)
-
 MESSAGE_MOST = 16 * 1024
 LINGER, LINGER_BYTES = timedelta(milliseconds=500), 1024 * 1024
 WRITE_BUFFER_MOST = 256 * 1024  # a peer that does not read is dropped past this
--- a/mallowquay/net/tasks.py
+++ b/mallowquay/net/tasks.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Coroutine
 from typing import Any
 
-log = logging.getLogger(__name__)
+import structlog
+
+log = structlog.get_logger(part=__name__)
 
 
 class Tasks:
@@ -25,4 +26,4 @@
     def _done(self, task: asyncio.Future[Any]) -> None:
         self._running.discard(task)
         if not task.cancelled() and (fault := task.exception()) is not None:
-            log.error("a coroutine failed", exc_info=fault)
+            log.error("coroutine_failed", exc_info=fault)
--- a/mallowquay/operation/readiness.py
+++ b/mallowquay/operation/readiness.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import logging
 from datetime import timedelta
 
+import structlog
+
 from ..core.model import Clock
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part=__name__)
 
 CALLERS_KNOW = timedelta(milliseconds=700)  # by then nobody who asks comes anew: connections are closed
 REFUSES_AFTER = timedelta(milliseconds=1500)  # and set-ups on those that never fall idle are refused
@@ -39,7 +40,7 @@
             self.drained = False
             if not self.stopping:
                 self._away_since = None
-            log.info("the drain is over")
+            log.info("drain_over")
 
     def stop(self) -> None:
         """SIGTERM: as a drain, without an end."""
@@ -47,7 +48,7 @@
         self._send_away("stopping")
 
     def _send_away(self, why: str) -> None:
-        log.info("%s: callers are sent away", why)
+        log.info("callers_sent_away", why=why)
         if self._away_since is None:
             self._away_since = self._clock()
 
--- a/mallowquay/operation/twin.py
+++ b/mallowquay/operation/twin.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import logging
 import os
 import socket
 from collections import deque
@@ -12,9 +11,10 @@
 from datetime import timedelta
 from typing import Any
 
+import structlog
 from tornado.ioloop import IOLoop
 
-log = logging.getLogger(__name__)
+log = structlog.get_logger(part=__name__)
 
 PIECE_MOST = 64 * 1024  # a longer packet goes in pieces
 WAITING_MOST = 8 * 1024 * 1024  # bytes that the other process has yet to read; then it is taken as dead
@@ -63,7 +63,7 @@
             self._waiting_bytes += len(piece)
         self._write()
         if self._waiting_bytes > WAITING_MOST:
-            log.error("the other process does not read: it is taken as dead")
+            log.error("twin_does_not_read")
             self.close()
 
     def _write(self) -> None:
@@ -80,7 +80,7 @@
         except BlockingIOError:
             pass
         except OSError as fault:
-            log.info("the other process: %s", fault)
+            log.info("twin_connection_lost", fault=str(fault))
             self.close()
             return
         self._loop.update_handler(self._sock, IOLoop.READ | (IOLoop.WRITE if self._waiting else 0))
@@ -111,7 +111,7 @@
         try:
             self._take(json.loads(text), descriptors)
         except (ValueError, KeyError, TypeError, OSError) as fault:  # another version may say other things
-            log.error("a packet of the other process cannot be used: %s: %s", type(fault).__name__, fault)
+            log.error("twin_packet_unusable", fault=f"{type(fault).__name__}: {fault}")
 
     def close(self) -> None:
         """The other process is gone, or is to be left."""
@@ -164,7 +164,7 @@
         """Find the process before and hear its state, or be the first."""
         self._path = os.path.join(folder, f"mallowquay-{name}")
         if len(self._path.encode()) > PATH_MOST:
-            log.warning("no meeting at an upgrade: the name is too long: %s", self._path)
+            log.warning("twin_name_too_long", path=self._path)
             return
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         try:
@@ -172,7 +172,7 @@
             sock.connect(self._path)
         except OSError as fault:  # nobody, or a stale file
             sock.close()
-            log.info("no process to succeed: %s", fault.strerror or fault)
+            log.info("no_process_to_succeed", fault=fault.strerror or str(fault))
             self._listen()
             return
         self._wire = Wire(self._loop, sock, self._take, self._lost)
@@ -181,7 +181,7 @@
             async with asyncio.timeout(MEET_WITHIN.total_seconds()):
                 await self._heard.wait()
         except TimeoutError:
-            log.error("the process before says nothing: it is not waited for")
+            log.error("twin_says_nothing")
             self._wire.close()
 
     def _listen(self) -> None:
@@ -198,7 +198,7 @@
             listener.listen(4)
             os.rename(own, self._path)
         except OSError as fault:
-            log.warning("an upgrade will not find this process: %s", fault)
+            log.warning("twin_cannot_listen", fault=str(fault))
             listener.close()
             return
         listener.setblocking(False)
@@ -234,7 +234,7 @@
             self.standing.update((told["id"], told) for told in packet["standing"])
             self._heard.set()
         elif kind == "serves":
-            log.info("the successor serves")
+            log.info("successor_serves")
             self.succeeded = True
         elif kind == "taken":
             self.ids.add(packet["id"])
@@ -250,7 +250,7 @@
 
     def _lost(self) -> None:
         """It has ended or died: this one goes on alone."""
-        log.info("the other process is gone")
+        log.info("twin_gone")
         self._wire = None
         self.succeeded = False
         self._heard.set()
--- /dev/null
+++ b/mallowquay/schema.py
@@ -0,0 +1,155 @@
+"""The operator's file as a schema: every key, its kind, its bounds and its default. `config.py` reads it.
+
+Keys carry their unit; `config.py` turns them into spans and addresses. Only an operator's file needs this
+module, so the platform's run line does not load it.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from enum import Enum
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+Count = Annotated[int, Meta(gt=0)]
+Address = Annotated[str, Meta(description="host:port")]
+
+
+class TransportName(Enum):
+    """Over what a log server is reached."""
+
+    UDP = "udp"
+    TCP = "tcp"
+
+
+class Table(Struct, frozen=True, forbid_unknown_fields=True):
+    """A table: a misspelt key must not pass for its default."""
+
+
+class Sip(Table, frozen=True):
+    """`[sip]`: the second front."""
+
+    udp: Address | None = None
+    tcp: Address | None = None
+    default_class: str | None = None  # else the first class
+    t1_ms: Count = 500
+    t2_ms: Count = 4000
+    t4_ms: Count = 5000
+    calls_most: Count = 8_000
+    transactions_most: Count = 24_000
+
+
+class CallClass(Table, frozen=True):
+    """`[[classes]]`."""
+
+    name: str
+    aim_ms: Count
+    deadline_ms: Count
+    worth: float = 1.0
+    late_worth: float = 0.0
+    hold_ms: Count = 10_000
+
+
+class LogServer(Table, frozen=True):
+    """`[[servers]]`."""
+
+    id: str
+    address: Address
+    number: int | None = None  # else its place in the file
+    transport: TransportName = TransportName.UDP
+
+
+class Limits(Table, frozen=True):
+    """`[limits]`."""
+
+    sockets: Count = 1024
+    attempts: Count = 4
+    retry_after_ms: Count = 2000
+    release_wait_ms: Count = 300
+    connect_timeout_ms: Count = 500
+
+
+class Consul(Table, frozen=True):
+    """`[consul]`: the catalogue as the source of the list."""
+
+    address: Address
+    service: str
+    datacenter: str = ""
+    token_file: str | None = None
+    wait_ms: Count = 60_000
+
+
+class Xds(Table, frozen=True):
+    """`[xds]`: the module's ratings for other proxies."""
+
+    listen: Address
+    cluster: str = "log-servers"
+
+
+class Traffic(Table, frozen=True):
+    """`[traffic]`: the record of what the core sees."""
+
+    file: str
+    interval_ms: Annotated[int, Meta(ge=100, le=3_600_000)] = 1000
+
+
+class OperatorFile(Table, frozen=True):
+    """The whole file."""
+
+    classes: list[CallClass]
+    sip: Sip
+    servers: list[LogServer] = []
+    limits: Limits = Limits()
+    gatekeepers: Count = 1
+    seed: str | int | None = None
+    consul: Consul | None = None
+    xds: Xds | None = None
+    control: Address | None = None
+    traffic: Traffic | None = None
+
+
+class SchemaFault(ValueError):
+    """The file does not fit; the text names the key."""
+
+
+def convert(document: Mapping[str, Any]) -> OperatorFile:
+    """A parsed file, checked. Errors: SchemaFault."""
+    try:
+        return msgspec.convert(document, OperatorFile)
+    except msgspec.ValidationError as fault:
+        raise SchemaFault(_explain(str(fault), document)) from None
+
+
+FAULT = re.compile(r"(?P<what>.*?)(?: - at `\$(?P<where>.*)`)?$", re.DOTALL)
+FIELD = re.compile(r"Object (?P<how>contains unknown|missing required) field `(?P<key>.*)`")
+
+
+def _explain(text: str, document: Any) -> str:
+    """msgspec's message with the key in front, as it stands in the file: `servers.1.transport`."""
+    match = FAULT.match(text)
+    assert match is not None, "the pattern takes any text"
+    path = re.sub(r"\[(\d+)\]", r".\1", match["where"] or "").lstrip(".")
+    field = FIELD.match(match["what"])
+    if field is not None:
+        key = f"{path}.{field['key']}".lstrip(".")
+        return f"{key} is {'not known' if field['how'].startswith('contains') else 'missing'}"
+    value = document
+    for name in path.split("."):
+        value = value[int(name)] if isinstance(value, list) else value.get(name)
+    what = match["what"][:1].lower() + match["what"][1:].replace("`", "")
+    return f"{path}: {what}, not {value!r}"
+
+
+def as_toml(file: OperatorFile) -> str:
+    """The file with every default filled in, as TOML."""
+    import tomli_w
+
+    def told(value: Any) -> Any:
+        if isinstance(value, dict):
+            return {key: told(inner) for key, inner in value.items() if inner is not None}
+        return [told(inner) for inner in value] if isinstance(value, list) else value
+
+    return tomli_w.dumps(told(msgspec.to_builtins(file)))
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -125,11 +125,11 @@
         self.assertEqual(self.stats()["pending"], 1)
         self.tell(self.log_servers[1], 1)
         self.program.hang_up()
-        self.program.wait_for("read anew")
+        self.program.wait_for("configuration_taken")
         with open(self.file, "w") as file:
             file.write("{")
         self.program.hang_up()
-        self.program.wait_for("is not taken")
+        self.program.wait_for("configuration_not_taken")
         figures = self.stats()
         self.assertEqual((figures["members"], figures["members_unavailable"]), (2, 1))
         self.assertEqual((figures["config_reloads"], figures["config_reload_errors"]), (1, 1))
@@ -209,7 +209,7 @@
         text = json.dumps({**self.document, "settings": settings, **changes})
         self.reload_text(text)
 
-    def reload_text(self, text: str, word: str = "the configuration was read anew") -> None:
+    def reload_text(self, text: str, word: str = "configuration_taken") -> None:
         with open(self.file, "w") as file:
             file.write(text)
         before = self.program.text().count(word)
@@ -262,7 +262,7 @@
         texts += [json.dumps({k: v for k, v in json.loads(good).items() if k != key}) for key in lacking]
         for text in texts:
             self.assertNotEqual(text, good)
-            self.reload_text(text, "is not taken")
+            self.reload_text(text, "configuration_not_taken")
         figures = self.call("GET", "/stats")[1]
         self.assertEqual((figures["config_reloads"], figures["config_reload_errors"]), (0, len(texts)))
         self.caller.invite("00000000000000b1")  # as many attempts as before
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -304,7 +304,7 @@
         self.program.terminate()
         self.request(self.udp, "BYE", "after", tag, cseq=2, mark="b")
         self.assertEqual(self.program.process.wait(WAIT), 0)
-        self.assertIn("stopped; 12 messages could not be read", self.program.text())
+        self.assertIn("unreadable=12", self.program.text())
 
 
 class FullCase(SipBase):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -38,7 +38,7 @@
                        "LB_CONFIG": self.file, "LB_LISTEN": f"127.0.0.1:{self.port}"}  # fmt: skip
         second = Process([], environment, self.descriptors())
         self.addCleanup(second.stop)
-        second.wait_for("serves at")
+        second.wait_for("serving")
         return second
 
 
@@ -50,7 +50,7 @@
     def upgrade(self) -> Process:
         """A successor that serves, and whose links the log servers' stand-ins use from here on."""
         second = self.succeed()
-        self.program.wait_for("the successor serves")
+        self.program.wait_for("successor_serves")
         self.heard = [server.kept for server in self.log_servers]
         for server in self.log_servers:
             server.accept()
@@ -69,7 +69,7 @@
         half.sock.sendall(b"OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: ")
         self.upgrade()
         self.program.terminate()
-        self.program.wait_for("the successor takes the connections")
+        self.program.wait_for("successor_takes_connections")
         half.sock.sendall(b"x\r\nContent-Length: 0\r\n\r\n")  # begun in one process, whole in the other
         self.assertEqual(half.read()[""], "SIP/2.0 200 OK")
         half.invite("00000000000000a3")  # a new call is the successor's
@@ -101,7 +101,7 @@
         self.log_servers[0].read()
         self.upgrade()
         self.program.terminate()
-        self.program.wait_for("the successor takes the connections")
+        self.program.wait_for("successor_takes_connections")
         self.log_servers[0].say("down", "00000000000000b1", cause=16)  # on the successor's link
         self.assertEqual(self.log_servers[0].read()["t"], "ack")
         self.assertEqual(self.caller.read()["call-id"], "00000000000000b1")
@@ -117,7 +117,7 @@
         self.log_servers[0].read()
         self.upgrade()
         self.program.terminate()
-        self.program.wait_for("the successor takes the connections")
+        self.program.wait_for("successor_takes_connections")
         self.caller.sock.close()
         self.on_first_link()
         self.assertEqual(self.log_servers[0].read(),
@@ -130,10 +130,10 @@
         second = self.upgrade()
         self.feed, _ = self.coordinator.accept()
         self.program.terminate()
-        self.program.wait_for("the successor takes the connections")
+        self.program.wait_for("successor_takes_connections")
         self.assertIsNone(self.program.process.poll())  # it stays while its call stands
         self.program.process.kill()
-        second.wait_for("the other process is gone")
+        second.wait_for("twin_gone")
         self.assertEqual(control_call(self.second_control, "GET", "/stats")[1]["pending"], 2)
         self.tell(self.log_servers[1], 2)  # what stood there is cut, whoever set it up
         bye = self.caller.read()
@@ -145,14 +145,14 @@
         self.caller.send("BYE", "00000000000000d2")
         self.assertEqual(self.caller.read()[""], "SIP/2.0 200 OK")
         third = self.succeed()  # a further upgrade finds it
-        second.wait_for("the successor serves")
+        second.wait_for("successor_serves")
         self.assertIsNone(third.process.poll())
 
     def test_the_successor_is_killed_and_the_first_serves_on(self) -> None:
         second = self.succeed()
-        self.program.wait_for("the successor serves")
+        self.program.wait_for("successor_serves")
         second.process.kill()
-        self.program.wait_for("the other process is gone")
+        self.program.wait_for("twin_gone")
         caller = Caller(self.port)
         caller.send("OPTIONS", "p")
         self.assertEqual(caller.read()[""], "SIP/2.0 200 OK")
@@ -164,7 +164,7 @@
         self.caller.invite("00000000000000f1", dest=0)  # told by now: it goes elsewhere
         self.assertEqual(self.log_servers[1].read()["ref"], "00000000000000f1")
         self.succeed()
-        self.program.wait_for("the successor serves")
+        self.program.wait_for("successor_serves")
         feed, _ = self.coordinator.accept()
         self.assertEqual(int.from_bytes(feed.recv(8), "big"), self.index)
         self.assertEqual(control_call(self.second_control, "GET", "/stats")[1]["members"], 1)
@@ -180,7 +180,7 @@
 
     def test_a_stale_file_does_not_hinder(self) -> None:
         self.succeed()
-        self.program.wait_for("the successor serves")
+        self.program.wait_for("successor_serves")
 
 
 class InheritedSocketTest(UpgradeCase):
