Record measured traffic per class and interval, and show a record

Need: nothing kept what the core saw of its callers, so no size could be computed from it.

Change: the figures tell a watch of every request where they count it; mallowquay/traffic records offered, dialled again, stood, refused, failed, left, calls at once (mean, square, most), set-up delay and holding time as HdrHistogram, one check-summed line an interval. A file cut at any byte is read to its last whole line; a damaged or foreign one is turned down with its line. Off by default: [traffic] in the operator's file, 'traffic' in the platform's configuration. A disk that fails ends the record, not the calls.

--- a/mallowquay/cli/__init__.py
+++ b/mallowquay/cli/__init__.py
@@ -13,6 +13,7 @@
     "serve": "serving",
     "check": "serving",
     "dimension": "dimension",
+    "traffic": "traffic",
 }
 
 
--- a/mallowquay/config.py
+++ b/mallowquay/config.py
@@ -162,10 +162,18 @@
     return replace(
         common(settings, read_seed(document.get("seed", "0")), sockets, platform=platform),
         control=None if control is None else address(control, "control"),
+        traffic=_platform_traffic(document["traffic"]) if "traffic" in document else None,
         keys=dict(_keys({key: value for key, value in document.items() if key != "known"})),
     )
 
 
+def _platform_traffic(table: Any) -> TrafficConfig:
+    interval = want(table, "interval_ms", int, "traffic.") if "interval_ms" in table else 1000
+    if not 100 <= interval <= 3_600_000:
+        raise ConfigError(f"traffic.interval_ms must lie between 100 and 3600000, not {interval}")
+    return _traffic(want(table, "file", str, "traffic."), interval)
+
+
 def _keys(table: dict[str, Any], above: str = "") -> Iterator[tuple[str, str]]:
     for key, value in table.items():
         yield above + key, _kind(value)
--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -80,6 +80,7 @@
         self.not_before = request.taken_at  # no attempt sooner: the release wait
         self.release_wait = release_wait  # as it was when the call came
         self.lost_time = False  # the last attempt got no answer in time
+        self.stood_at: timedelta | None = None  # here; None also of one that another process set up
 
 
 class Calls:
@@ -166,6 +167,7 @@
         call = self._calls[request.id] = Call(request, caller, self._release_wait)
         self.unanswered += 1
         self.last_offer = self._clock()
+        self.figures.offered(request, self.last_offer)
         self.opened(request.id)
         # Guards the one answer should the module stay silent; its own end margin comes sooner.
         self._at(request.deadline - self._margin, lambda: self._overdue(call))
@@ -174,7 +176,9 @@
 
     def turn_away(self, request: Request) -> None:
         """A front refuses a call that it cannot take: no decision is asked for, yet it counts."""
-        self.figures.ended(request.class_name, Verdict.REFUSED)
+        now = self._clock()
+        self.figures.offered(request, now)
+        self.figures.ended(request, Verdict.REFUSED, now)
 
     def caller_left(self, request_id: str) -> bool:
         """The caller gives the set-up up; True if the call had no final answer yet."""
@@ -221,10 +225,11 @@
             return False
         call.state = CallState.STANDING
         self.unanswered -= 1
-        self.figures.ended(call.request.class_name, Verdict.STANDS)
+        call.stood_at = self._clock()
+        self.figures.ended(call.request, Verdict.STANDS, call.stood_at)
         self._do(lambda: self._decisions.report(Stood(attempt)))
         if load:
-            self._do(lambda: self._decisions.report(LoadTold(attempt.server, load)))
+            self.load_told(attempt.server, load)
         call.caller.answer(call, FinalAnswer(Verdict.STANDS, description))
         self.came_to_stand(call)
         return True
@@ -248,6 +253,7 @@
 
     def load_told(self, server: str, load: Load) -> None:
         """Unasked word of a server's load."""
+        self.figures.load_told(server, load)
         self._do(lambda: self._decisions.report(LoadTold(server, load)))
 
     def list_told(self, told: ListTold) -> None:
@@ -361,7 +367,7 @@
         """The one final answer of a call that does not come to stand."""
         call.state, call.attempt = CallState.OVER, None
         self.unanswered -= 1
-        self.figures.ended(call.request.class_name, answer.verdict)
+        self.figures.ended(call.request, answer.verdict, self._clock())
         self._remove(call)
         call.caller.answer(call, answer)
 
@@ -369,6 +375,7 @@
         attempt = call.attempt
         assert attempt is not None
         call.state, call.attempt = CallState.OVER, None
+        self.figures.over(call.request, call.stood_at, self._clock())
         self._remove(call)
         return attempt
 
--- a/mallowquay/service.py
+++ b/mallowquay/service.py
@@ -21,7 +21,7 @@
 from tornado.netutil import bind_sockets
 
 from . import config
-from .config import Config, ConfigError, PlatformConfig, SipConfig
+from .config import Config, ConfigError, PlatformConfig, SipConfig, TrafficConfig
 from .core.calls import Calls
 from .core.decisions import Decisions
 from .core.figures import Figures
@@ -36,6 +36,7 @@
 
 if TYPE_CHECKING:
     from .fronts.sip.front import SipFront
+    from .traffic.recording import Recording
 
 log = structlog.get_logger(part=__name__)
 
@@ -66,6 +67,7 @@
         self.reloads = self.reload_errors = 0
         self.front: PlatformFront | SipFront | None = None
         self.control: HTTPServer | None = None
+        self.recording: Recording | None = None
         self.addresses: dict[str, Any] = {}  # for the log
         self.listeners: list[socket.socket] = []
         self.unreadable: Callable[[], int] = lambda: 0  # messages that were dropped or answered as bad
@@ -182,6 +184,14 @@
     def _later(self, delay: timedelta, action: Callable[[], None]) -> asyncio.TimerHandle:
         return asyncio.get_running_loop().call_later(delay.total_seconds(), action)
 
+    def record(self, traffic: TrafficConfig) -> None:
+        """Record what the core sees. Errors: OSError."""
+        from .traffic.recording import Recording  # off on the platform, which does not pay for it
+
+        self.recording = Recording(
+            self.loop, monotonic, self.calls.figures, traffic.file, traffic.interval, self.config.classes
+        )
+
     def reload(self, read: Callable[[], Config]) -> None:
         """SIGHUP: take from a new file what can change under calls; one that is faulty changes nothing."""
         try:
@@ -295,10 +305,14 @@
         program.start_sip(settings.sip)
     if settings.control is not None:
         program.control = serve_control(program.operation, program.figures, settings.control)
+    if settings.traffic is not None:
+        program.record(settings.traffic)
     log.info("serving", **program.addresses)  # last: whoever reads it finds every address open
     gc.collect()
     gc.freeze()  # what stands from the start is never looked through again: shorter pauses
     await program.done.wait()
+    if program.recording is not None:
+        program.recording.stop()
     log.info("stopped", unreadable=program.unreadable())
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -37,7 +37,7 @@
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "coordinator": f"127.0.0.1:{self.coordinator.getsockname()[1]}",
-            "known": {"index": 1, "updates": [update]}, "settings": SETTINGS,
+            "known": {"index": 1, "updates": [update]}, "settings": SETTINGS, **self.more(),
         }  # fmt: skip
         with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
             json.dump(document, file)
@@ -59,6 +59,10 @@
     def environment(self) -> dict[str, str]:
         return {}
 
+    def more(self) -> dict[str, object]:
+        """Further keys of the configuration."""
+        return {}
+
     def descriptors(self) -> tuple[int, ...]:
         return ()
 
