Keep a margin for what the flow sees late of a rising load, and trim the short check

Cause: followed as a flow, a load that rises loses 0.6 of what the distribution of busy lines says at about 1% (0.012 against 0.020 at 50 erlang on 80 lines), so a shifting mix was sized a log server short: 1.3% where 1% was asked. Ruled out: the distribution itself in the search, minutes a plan.

--- a/mallowquay/dimensioning/plan.py
+++ b/mallowquay/dimensioning/plan.py
@@ -21,7 +21,7 @@
 from scipy import stats
 
 from . import transient
-from .erlang import Unanswerable, fewest
+from .erlang import Unanswerable, fewest, rough_loss
 from .processor import Processor, meets
 from .transient import Flow, Stretch
 
@@ -30,6 +30,7 @@
 RESAMPLES = 999
 EXPECTED_LEAST = 20  # lost calls that the record must lead to expect, for a size to be called certain
 CONFIDENCE = 0.95
+FLOW_SEES = 0.6  # of the loss that a rising load adds at about 1%, the flow sees this part (see the tests)
 WINDOWS_LEAST = 12  # a minute
 
 
@@ -212,7 +213,9 @@
     start = load.rate * load.hold.total_seconds()
     lost = transient.flow_losses(flows, lines, start, load.peakedness)
     calls = [flow.rate * flow.span.total_seconds() for flow in flows]
-    return sum(loss * weight for loss, weight in zip(lost, calls)) / max(sum(calls), 1e-300)
+    moving = sum(loss * weight for loss, weight in zip(lost, calls)) / max(sum(calls), 1e-300)
+    standing = rough_loss(start, lines, load.peakedness)
+    return min(1.0, standing + (moving - standing) / FLOW_SEES) if moving > standing else moving
 
 
 def _processor_misses(load: _Load, shape: Shape, servers: float, wait: timedelta) -> float:
--- a/mallowquay/dimensioning/transient.py
+++ b/mallowquay/dimensioning/transient.py
@@ -44,41 +44,40 @@
     return loads
 
 
-def losses(stretches: Sequence[Stretch], hold: timedelta, lines: int, start: float) -> list[float]:
-    """The mean loss in each stretch of calls that find `lines`; before the first, traffic stood at `start`.
+@dataclass(frozen=True, slots=True)
+class Flow:
+    """A stretch of traffic of several classes: first tries a second, and the mean length of calls there."""
+
+    span: timedelta
+    rate: float
+    hold: timedelta
+
+
+def losses(flows: Sequence[Flow], lines: int, start: float, points: int = 9) -> list[float]:
+    """The mean loss in each flow of calls that find `lines`; before the first, traffic stood at `start`.
 
     From the distribution of busy lines itself (Kolmogorov's forward equations): exact for exponential
     lengths, and slow for thousands of lines, where `flow_losses` does.
     """
     if lines < 1 or not start > 0:
         raise Unanswerable("lines and the load before must be above 0")
-    ends = 1 / hold.total_seconds()
     busy = numpy.arange(lines + 1)
     weights = numpy.concatenate([[0.0], numpy.cumsum(numpy.log(start / busy[1:]))])
     state = numpy.exp(weights - weights.max())
     state /= state.sum()
     result = []
-    for stretch in stretches:
-        up = numpy.full(lines + 1, stretch.rate)
+    for flow in flows:
+        up = numpy.full(lines + 1, flow.rate)
         up[-1] = 0.0
-        down = busy * ends
+        down = busy / flow.hold.total_seconds()
         moves = diags([up[:-1], -(up + down), down[1:]], [-1, 0, 1], format="csc")
-        span = stretch.span.total_seconds()
-        points = expm_multiply(moves, state, start=0.0, stop=span, num=9, endpoint=True)
-        result.append(float(numpy.trapezoid(points[:, -1], dx=span / 8) / span))
-        state = points[-1]
+        span = flow.span.total_seconds()
+        states = expm_multiply(moves, state, start=0.0, stop=span, num=points, endpoint=True)
+        result.append(float(numpy.trapezoid(states[:, -1], dx=1 / (points - 1))))
+        state = states[-1]
     return result
 
 
-@dataclass(frozen=True, slots=True)
-class Flow:
-    """A stretch of traffic of several classes: first tries a second, and the mean length of calls there."""
-
-    span: timedelta
-    rate: float
-    hold: timedelta
-
-
 @lru_cache(maxsize=256)
 def _closure(lines: float, peakedness: float) -> tuple[numpy.ndarray, numpy.ndarray]:
     """Busy lines of standing traffic, and its loss, from light load to far too much."""
