--- a/mallowquay/traffic/record.py
+++ b/mallowquay/traffic/record.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from datetime import timedelta
-from typing import Any
 
 from hdrh.histogram import HdrHistogram
 from msgspec import Struct
@@ -186,15 +185,3 @@
         self._lines.clear()
         self._began = now
         return interval
-
-
-def as_figures(kind: ClassInterval) -> dict[str, Any]:
-    """The plain counts, for tables."""
-    return {
-        "offered": kind.offered,
-        "again": kind.again,
-        "stood": kind.stood,
-        "refused": kind.refused,
-        "failed": kind.failed,
-        "left": kind.left,
-    }
--- a/mallowquay/traffic/summary.py
+++ b/mallowquay/traffic/summary.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
-from math import sqrt
 
 from hdrh.histogram import HdrHistogram
 
@@ -129,11 +128,6 @@
     return max(0.0, square - calls * calls) / calls
 
 
-def peakedness_spread(span: timedelta, hold: timedelta) -> float:
-    """Relative standard error of a measured peakedness: calls are seen anew each length of a call or so."""
-    return sqrt(2 * hold / span) if span > timedelta(0) else 1.0
-
-
 def windows(intervals: list[Interval], name: str, length: timedelta) -> list[int]:
     """First tries of a class in windows of this length; what is left over at the end is no window."""
     counts: list[int] = []
