--- a/tests/support.py
+++ b/tests/support.py
@@ -43,11 +43,15 @@
     """The real program, started as the platform starts it."""
 
     def __init__(
-        self, arguments: list[str], environment: dict[str, str], descriptors: tuple[int, ...] = ()
+        self,
+        arguments: list[str],
+        environment: dict[str, str],
+        descriptors: tuple[int, ...] = (),
+        file: str | None = None,  # what starts it, in place of the package itself
     ) -> None:
         self.log = tempfile.TemporaryFile()
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "mallowquay", *arguments],
+            [sys.executable, *([file] if file else ["-m", "mallowquay"]), *arguments],
             cwd=ROOT, env={**os.environ, **environment}, stderr=self.log, stdout=self.log,
             pass_fds=descriptors,
         )  # fmt: skip
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -25,6 +25,7 @@
 class PlatformCase(unittest.TestCase):
     servers = 2
     sockets = 1024
+    program_file: str | None = None
 
     def setUp(self) -> None:
         self.log_servers = [LogServer(number) for number in range(self.servers)]
@@ -44,7 +45,7 @@
         self.file = file.name
         self.addCleanup(os.unlink, file.name)
         environment = {"LB_CONFIG": file.name, "LB_LISTEN": f"127.0.0.1:{self.port}", **self.environment()}
-        self.program = Process([], environment, self.descriptors())
+        self.program = Process([], environment, self.descriptors(), self.program_file)
         self.addCleanup(self.program.stop)
         for server in self.log_servers:
             server.accept()
