Follow an emulated scenario in time by formula, beside its standing prediction

Change: emulator/followed.py moves the distribution of the work in line with rate, classes and servers of each moment; the table, JSON and plots name the two predictions apart.

--- a/mallowquay/cli/emulate.py
+++ b/mallowquay/cli/emulate.py
@@ -49,7 +49,13 @@
     else:
         names = ("calls", "loss", "loss_interval", "use", "wait_s", "violations")
         shown = {name: told[name] for name in names}
-        predicted = {f"predicted {name}": told["predicted"].get(name) for name in ("loss", "use", "wait_s")}
+        predicted = {
+            "predicted loss, standing traffic": told["predicted"]["loss"],
+            "predicted loss, followed in time": told["followed"]["loss"],
+            "predicted worst 10 s, followed": told["followed"]["worst_10_s"],
+            "predicted use, standing traffic": told["predicted"].get("use"),
+            "predicted wait_s, standing traffic": told["predicted"].get("wait_s"),
+        }
         losses = {f"loss of {name}": kind["loss"] for name, kind in told["classes"].items()}
         show({**shown, **predicted, **losses, "calls a second": told["calls_per_s"]}, json_wanted=False)
     context.exit(1 if told["violations"] else 0)
--- a/mallowquay/emulator/report.py
+++ b/mallowquay/emulator/report.py
@@ -13,6 +13,7 @@
 from ..dimensioning.erlang import Unanswerable, erlang_b, redialled
 from ..dimensioning.processor import Processor, Work, meets
 from ..dimensioning.transient import Stretch, modified_load
+from .followed import follow
 from .run import Outcome
 from .scenario import Refusal, Scenario, Spread
 
@@ -42,7 +43,8 @@
 def predicted(scenario: Scenario) -> dict[str, Any]:
     """What standing traffic of this rate meets, with redials: by lines, by processors, and the larger.
 
-    `load` in erlang, of first tries; waits in seconds. Nothing of incidents, surges and mixes is in it.
+    `load` in erlang, of first tries; waits in seconds. Nothing of incidents, surges and mixes is in it: for
+    those see `followed`.
     """
     hold, shape, callers = hold_of(scenario), scenario.servers, scenario.callers
     load = callers.rate * hold.total_seconds()
@@ -94,7 +96,7 @@
 def report(scenario: Scenario, outcomes: Sequence[Outcome]) -> dict[str, Any]:
     """One JSON object of all runs."""
     loss, least, most = interval(outcomes)
-    classes = {}
+    path, classes = follow(scenario), {}
     for kind in scenario.classes:
         tallies = [outcome.classes[kind.name] for outcome in outcomes]
         total = {name: sum(getattr(tally, name) for tally in tallies)
@@ -117,6 +119,7 @@
         "refused_processor": sum(outcome.refused_work for outcome in outcomes),
         "classes": classes,
         "predicted": predicted(scenario),
+        "followed": {"loss": path.loss, "worst_10_s": path.worst},
         "violations": sum(outcome.broken for outcome in outcomes),
         "violations_shown": [
             {"rule": found.rule, "seed": found.seed, "call": found.call, "at_s": found.at / 1e6}
@@ -181,13 +184,16 @@
     names = list(told["classes"])
     axes.bar(names, [told["classes"][name]["loss"] for name in names], color="C0", label="observed")
     axes.axhline(told["predicted"]["loss"], color="C1", label="predicted for standing traffic")
+    axes.axhline(told["followed"]["loss"], color="C2", ls="--", label="predicted, followed in time")
     low, high = told["loss_interval"]
     axes.axhspan(low, high, color="C0", alpha=0.2, label="95% of all classes")
     finish("loss", "Loss by class", "class", "share of tries")
 
     figure, axes = pyplot.subplots(figsize=(9, 4.5))
     axes.plot(at, mean["wait"], color="C0", label="work in line, mean of the log servers")
-    axes.axhline(told["predicted"].get("wait_s", 0.0), color="C1", label="predicted mean wait")
+    axes.axhline(told["predicted"].get("wait_s", 0.0), color="C1", label="predicted for standing traffic")
+    path = follow(scenario)
+    axes.plot(path.at, path.wait, color="C2", ls="--", label="predicted, followed in time")
     axes.axhline(scenario.servers.wait_limit_ms / 1000, color="k", ls=":", label="limit")
     finish("wait", "Processor wait", "seconds", "seconds")
     return files
