--- a/mallowquay/cli/dimension.py
+++ b/mallowquay/cli/dimension.py
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:
     from ..dimensioning.plan import Demand, Plan
+    from ..emulator.sizing import Sized
     from ..traffic.summary import Summary
 
 
@@ -224,6 +225,11 @@
 )
 @click.option("--cut-ok", is_flag=True, help="Plan from what stands before the line that a crash cut.")
 @click.option("--emulation", type=click.Path(dir_okay=False), help="Write a scenario that plays the size.")
+@click.option("--played", is_flag=True, help="Search the size that holds when the module decides.")
+@click.option("--played-seconds", type=POSITIVE, default=240.0, show_default=True, help="Of each played run.")
+@click.option(
+    "--gatekeepers", type=click.IntRange(1, 1000), default=6, show_default=True, help="Of played runs."
+)
 @as_json
 def make_plan(
     traffic: str,
@@ -242,6 +248,9 @@
     cold: float,
     cut_ok: bool,
     emulation: str | None,
+    played: bool,
+    played_seconds: float,
+    gatekeepers: int,
     as_json: bool,
 ) -> None:
     """How many log servers to start, from a record of traffic.
@@ -284,7 +293,39 @@
             Path(emulation).write_text(scenario(made, shape, aim, summary), encoding="utf-8")
         except OSError as fault:
             raise click.UsageError(f"--emulation: {emulation}: {fault.strerror}") from fault
-    tell(made, summary, shape.lines, as_json)
+    sized = None
+    if played:
+        sized = play_sizes(made, shape, aim, scenario(made, shape, aim, summary), played_seconds, gatekeepers)
+    tell(made, summary, shape.lines, as_json, sized)
+
+
+def play_sizes(made: Plan, shape: Any, aim: Any, text: str, seconds: float, gatekeepers: int) -> Sized:
+    """Search the played size, with a line of progress for each size."""
+    import os
+    import tomllib
+    from concurrent.futures import ProcessPoolExecutor
+
+    import msgspec
+
+    from ..emulator import sizing
+    from ..emulator.scenario import Scenario
+
+    warmup = min(60.0, seconds / 4)
+    played = msgspec.convert(tomllib.loads(text), Scenario)
+    surges = [msgspec.structs.replace(one, at_s=warmup + 0.25 * (seconds - warmup)) for one in played.surges]
+    played = msgspec.structs.replace(
+        played, seconds=seconds, warmup_s=warmup, gatekeepers=gatekeepers, surges=surges
+    )
+
+    def told(size: sizing.Played) -> None:
+        losses = ", ".join(f"{name} {loss:.4f} +- {half:.4f}" for name, (loss, half) in size.losses.items())
+        click.echo(
+            f"played {size.servers} log servers: {losses}: {'holds' if size.holds else 'too few'}", err=True
+        )
+
+    with ProcessPoolExecutor(os.cpu_count()) as pool:
+        spare = sizing.Spare(shape.dead, shape.replaced)
+        return sizing.search(played, spare, aim.loss, made.size.servers, pool, told)
 
 
 def demands(summary: Summary, intervals: list[Any]) -> list[Demand]:
@@ -340,8 +381,8 @@
     return tomli_w.dumps(document)
 
 
-def tell(made: Plan, summary: Summary, lines: int, json_wanted: bool) -> None:
-    """Print a plan."""
+def tell(made: Plan, summary: Summary, lines: int, json_wanted: bool, sized: Sized | None) -> None:
+    """Print a plan, and the size that was played."""
     size = made.size
     whole: dict[str, Any] = {
         "servers": size.servers,
@@ -372,6 +413,17 @@
             for demand in made.classes
         ],
     }
+    if sized is not None:
+        whole["played"] = {
+            "servers": sized.servers,
+            "interval": [sized.least, sized.most],
+            "sizes": [
+                {"servers": one.servers, "holds": one.holds, "sure": one.sure, "violations": one.violations}
+                | {f"loss_{name}": loss for name, (loss, _) in one.losses.items()}
+                | {f"half_{name}": half for name, (_, half) in one.losses.items()}
+                for one in sized.played
+            ],
+        }
     for warning in made.warnings:
         click.echo(f"mallowquay: warning: {warning}", err=True)
     if json_wanted:
@@ -392,6 +444,10 @@
         (f"{made.use:.0%}", "use of the processors"),
         (f"{made.wait.total_seconds():.3f} s", "mean wait for a processor"),
     ]
+    if sized is not None:
+        most = "more" if sized.most is None else sized.most
+        size_played = "none found" if sized.servers is None else f"{sized.servers}"
+        rows.append((size_played, f"as played with the module ({sized.least} to {most} by chance)"))
     click.echo(table(rows, ["size", ""]))
     click.echo("")
     kinds = [
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -11,6 +11,7 @@
 from functools import partial
 from math import ceil, exp
 from pathlib import Path
+from unittest.mock import patch
 
 import numpy
 from click.testing import CliRunner
@@ -21,6 +22,8 @@
 from mallowquay.dimensioning.plan import Aim, Demand, Shape
 from mallowquay.dimensioning.processor import Processor, Work, meets, most_rate
 from mallowquay.dimensioning.transient import Flow, Stretch
+from mallowquay.emulator import sizing
+from mallowquay.emulator.scenario import CallerClass, Callers, Scenario, Servers
 from mallowquay.traffic.record import ClassInterval, Header, Interval, histogram
 from mallowquay.traffic.store import Writer
 
@@ -149,6 +152,38 @@
         self.assertEqual(losses, sorted(losses, reverse=True))
 
 
+class PlayedTest(unittest.TestCase):
+    """The search over played sizes, with a play that knows from which size on a fleet holds."""
+
+    def search(self, holds_from: int, start: int, half: float = 0.0) -> sizing.Sized:
+        def played(scenario: object, servers: int, *rest: object) -> sizing.Played:
+            loss = 0.02 if servers < holds_from else 0.002
+            return sizing.Played(servers, {"whole": (loss, half)}, loss <= 0.01, abs(loss - 0.01) > half, 0)
+
+        with patch.object(sizing, "_play", played):
+            return sizing.search(Scenario(Callers(50.0), Servers(1), [CallerClass("a")]),
+                                 sizing.Spare(0.15, 0.26), 0.01, start, None)  # type: ignore[arg-type]  # fmt: skip
+
+    def test_the_smallest_that_holds_is_found_from_above_and_below(self) -> None:
+        for holds_from in range(1, 9):
+            sized = self.search(holds_from, 4)
+            self.assertEqual((sized.servers, sized.least, sized.most), (holds_from,) * 3)
+        self.assertIsNone(self.search(100, 4).servers)
+
+    def test_what_chance_leaves_open_is_told(self) -> None:
+        sized = self.search(5, 4, half=0.05)
+        self.assertEqual((sized.servers, sized.least, sized.most), (5, 1, None))
+        self.assertEqual([one.servers for one in sized.played], [4, 5, 6])  # one more was looked at
+
+    def test_a_size_is_played_whole_with_its_dead_and_with_a_part_replaced(self) -> None:
+        scenario = Scenario(Callers(50.0), Servers(1), [CallerClass("a")], seconds=120.0, warmup_s=30.0)
+        played = sizing.states(scenario, 7, sizing.Spare(0.15, 0.26))
+        self.assertEqual({name: len(one.incidents) for name, one in played.items()},
+                         {"whole": 0, "dead": 2, "replaced": 2})  # fmt: skip
+        self.assertEqual({one.servers.count for one in played.values()}, {7})
+        self.assertTrue(all(one.for_s >= 120 for one in played["dead"].incidents))
+
+
 class CommandTest(unittest.TestCase):
     def setUp(self) -> None:
         self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
