Leave the word that greets a connection out of the even gaps of free lines

The first comes because the connection is new, so that is any part of a gap (0.27 of 0.88 s), and the next word was 'missed'; the new connection then began the same anew. A log server that drains before the list says so fell mute again and again, too. Calls that a gatekeeper released while they stood (1,340): all at a log server that had reset its connections 0.8 s before the list called it gone. Change: rhythm.py holds the gaps; the first word of a connection counts for none, and each connection that falls mute after one that did gets twice the time, up to 8 times. The new test fails before the change: the connection is left 0.6 s after its greeting.

--- a/mallowquay/fronts/platform/servers.py
+++ b/mallowquay/fronts/platform/servers.py
@@ -27,6 +27,7 @@
 from ...net.tasks import Tasks
 from ..load import read_load
 from ..statuses import INTERWORKING_CUT, release_ending
+from .rhythm import Rhythm
 
 log = structlog.get_logger(part=__name__)
 
@@ -39,11 +40,6 @@
 # A line that has begun is whole at once: one that is not so by now has been cut off; nothing behind it can
 # be read.
 LINE_WITHIN = timedelta(milliseconds=200)
-# Free lines are told at even gaps. A connection that misses them is of no further use, though it stays open.
-LATE_WORD = 0.3  # a word of free lines is missed when it is late by this part of the usual gap,
-LATE_LEAST = timedelta(milliseconds=150)  # or by this, and nothing else has come for as long
-GAP_UNKNOWN = timedelta(seconds=2)
-GAP_MEMORY = 0.1
 RESTED = timedelta(milliseconds=100)  # one that broke sooner after it came up is opened anew after this pause
 
 # Causes of a release before the answer, and after it; any other is a fault or a cut.
@@ -94,8 +90,7 @@
         self.open: dict[str, Attempt] = {}  # sent on this connection, unanswered
         self.heard_at = self.opened_at = self.side.clock()
         self.line_since: timedelta | None = None  # since when a line has begun and is not whole
-        self.told_at: timedelta | None = None  # when free lines were told last on this connection
-        self.told_gap: timedelta | None = None  # and how long apart they are usually
+        self.rhythm = Rhythm()  # of free lines: a connection that misses them is of no further use
         self.looks_mute = False
 
     def connect(self) -> None:
@@ -142,7 +137,8 @@
             stream.close()
             return
         self.stream, self.opened_at = stream, self.side.clock()
-        self.line_since, self.told_at, self.looks_mute = None, None, False
+        self.line_since, self.looks_mute = None, False
+        self.rhythm.opened(self.opened_at)
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
             # It may have drained while the connection came up: nothing new after that.
@@ -204,13 +200,6 @@
     def _heard(self) -> None:
         self.heard_at, self.looks_mute = self.side.clock(), False
 
-    def told(self) -> None:
-        """Free lines were told, unasked: they come at even gaps."""
-        before, self.told_at = self.told_at, self.heard_at
-        if before is not None:
-            gap, usual = self.told_at - before, self.told_gap or timedelta(0)
-            self.told_gap = max(gap, usual + (gap - usual) * GAP_MEMORY)
-
     def watch(self) -> None:
         """Leave a connection that is of no further use, and release what cannot be told any more."""
         now = self.side.clock()
@@ -223,17 +212,14 @@
             elif not self.looks_mute:
                 self.looks_mute = True  # looked at twice: this process may have stood still, with all unread
             else:
+                self.rhythm.mute()
                 self._broken(self.stream, Ending.CONNECTION_MUTE)
         if now - self.heard_at >= SILENT_MOST:
             self.side.cut_standing(self.server.id, Ending.CONNECTION_SILENT)
 
     def _missed_word(self, now: timedelta) -> bool:
-        if self.server.status is not ServerStatus.READY:
-            return False  # one that drains need not tell its free lines, and calls stand there and end
-        gap = self.told_gap or GAP_UNKNOWN
-        late = max(gap * LATE_WORD, LATE_LEAST)
-        told_at = self.opened_at if self.told_at is None else self.told_at
-        return now - told_at >= gap + late and now - max(self.heard_at, self.opened_at) >= late
+        # One that drains need not tell its free lines, and calls stand there and end.
+        return self.server.status is ServerStatus.READY and self.rhythm.missed(now, self.heard_at)
 
     def close(self) -> None:
         """Close the connection of a server that is gone."""
@@ -328,7 +314,7 @@
             raise Unreadable(f"the fields of {kind} are no object")
         load = read_load(fields.get("load"))
         if kind == "gauge":
-            link.told()
+            link.rhythm.told(link.heard_at)
             if load:
                 self.calls.load_told(link.server.id, load)
         elif not isinstance(ref, str):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -336,6 +336,14 @@
         server.say("down", "00000000000000d1", cause=16)  # a release that was missed comes on the next one
         self.assertEqual(self.caller.read()["call-id"], "00000000000000d1")
 
+    def test_the_word_that_greets_a_connection_is_no_part_of_the_even_gaps(self) -> None:
+        server = self.log_servers[0]
+        server.accept() if server.sock is None else None
+        self.assertTrue(self.caller.silent(0.1))  # a part of the gap: then words come every 600 ms
+        for _ in range(3):
+            server.say("gauge", "", load="x0:1000;x1:1000")
+            self.assertTrue(server.silent(0.6), "the connection was left")
+
     def test_a_draining_server_that_tells_no_free_lines_keeps_its_connection_and_calls(self) -> None:
         server = self.log_servers[0]
         self.set_up("00000000000000d5")
