Serve other proxies over xDS streams: ADS with leases, drains at once, ordered lists

Need: other installations want the choice of server without running the proxy; the REST poll tells a drain at the next poll, and one that is cut off never. A proxy that cannot be told holds endpoints by time-to-live, 450 ms, renewed each 150 ms without bodies. A proxy that comes with a version that knows of a newer drain is sent nothing older for 10 s. Found by the stateful test: a version does not prove which names a proxy still holds (left, asked for again, broken off), so named resources of the state-of-the-world variant are sent once anew on a new stream. The run line loads none of it.

--- a/mallowquay/cli/__init__.py
+++ b/mallowquay/cli/__init__.py
@@ -12,6 +12,7 @@
 COMMANDS = {
     "serve": "serving",
     "check": "serving",
+    "control-plane": "serving",
     "dimension": "dimension",
     "traffic": "traffic",
     "emulate": "emulate",
@@ -29,7 +30,8 @@
         """The command of this name, loaded now."""
         if name not in COMMANDS:
             return None
-        command: click.Command = getattr(import_module(f".{COMMANDS[name]}", __package__), name)
+        command: click.Command = getattr(import_module(f".{COMMANDS[name]}", __package__), name.replace("-",
+        "_"))
         return command
 
     def resolve_command(
--- a/mallowquay/cli/serving.py
+++ b/mallowquay/cli/serving.py
@@ -15,6 +15,16 @@
     context.exit(service.run([file] if file else []))
 
 
+@click.command("control-plane")
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.pass_context
+def control_plane(context: click.Context, file: str) -> None:
+    """Serve other proxies by an operator's FILE: choices and drains over xDS, without a front."""
+    from ..controlplane import service
+
+    context.exit(service.run(file))
+
+
 @click.command()
 @click.argument("file", type=click.Path(dir_okay=False))
 def check(file: str) -> None:
--- a/mallowquay/config.py
+++ b/mallowquay/config.py
@@ -88,10 +88,21 @@
 
 @dataclass(frozen=True, slots=True)
 class XdsConfig:
-    """The xDS endpoints for other proxies."""
+    """The module's ratings for other proxies: REST polls, and gRPC streams with their terms."""
 
-    listen: tuple[str, int]
+    listen: tuple[str, int] | None
     cluster: str
+    ads: tuple[str, int] | None = None
+    districts: tuple[str, ...] = ()
+    nodes: frozenset[str] = frozenset()
+    lease: timedelta = timedelta(0)
+    renew: timedelta = timedelta(0)
+    gather: timedelta = timedelta(0)
+    weight_band: float = 0.0
+    changes_per_s: float = 1.0
+    streams_most: int = 1
+    first_pushes_per_s: float = 1.0
+    catch_up: timedelta = timedelta(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +128,7 @@
     sockets: int
     platform: PlatformConfig | None = None
     sip: SipConfig | None = None
+    servers: tuple[Server, ...] = ()  # of the file, where no front has them
     consul: ConsulConfig | None = None
     xds: XdsConfig | None = None
     control: tuple[str, int] | None = None  # the second address
@@ -253,6 +265,15 @@
     return operator_config(_parse(path))
 
 
+def load_control_plane(path: str) -> Config:
+    """The same file for the control service alone: without a front."""
+    document = _parse(path)
+    found = operator_config(document, alone=True)
+    if found.xds is None or found.xds.ads is None:
+        raise ConfigError("xds.ads is missing: the control service needs an address for its streams")
+    return found
+
+
 def described(path: str) -> str:
     """An operator's file as the program takes it, with every default, once it is found usable."""
     from . import schema
@@ -272,8 +293,8 @@
         raise ConfigError(f"{path} is not TOML: {fault}") from fault
 
 
-def operator_config(document: dict[str, Any]) -> Config:
-    """Check an operator's file: every key in it must be known."""
+def operator_config(document: dict[str, Any], alone: bool = False) -> Config:
+    """Check an operator's file: every key in it must be known. `alone`: without a front."""
     from . import schema  # the platform's run line has no such file, and does not pay for its library
 
     try:
@@ -281,10 +302,11 @@
     except schema.SchemaFault as fault:
         raise ConfigError(str(fault)) from None
     settings = _module_settings(file)
-    sip = _sip(file)
-    if file.consul is None and not sip.servers:
+    servers = _servers(file)
+    sip = None if alone else _sip(file, servers)
+    if file.consul is None and not servers:
         raise ConfigError("servers: none is given, and there is no consul to name them")
-    if file.consul is not None and sip.servers:
+    if file.consul is not None and servers:
         raise ConfigError("servers and consul exclude each other: one source names the log servers")
     whole_file = common(
         settings,
@@ -292,11 +314,39 @@
         file.limits.sockets,
         sip=sip,
         consul=None if file.consul is None else _consul(file.consul),
-        xds=None if file.xds is None else XdsConfig(address(file.xds.listen, "xds.listen"), file.xds.cluster),
+        xds=None if file.xds is None else _xds(file.xds),
     )
     traffic = None if file.traffic is None else _traffic(file.traffic.file, file.traffic.interval_ms)
     control = None if file.control is None else address(file.control, "control")
-    return replace(whole_file, control=control, traffic=traffic, keys=dict(_keys(document)))
+    return replace(
+        whole_file, control=control, traffic=traffic, keys=dict(_keys(document)), servers=servers
+    )
+
+
+def _xds(table: schema.Xds) -> XdsConfig:
+    if table.listen is None and table.ads is None:
+        raise ConfigError("xds.listen or xds.ads must be given")
+    ads = None if table.ads is None else address(table.ads, "xds.ads")
+    # Whoever reaches the streams is told where the log servers are and which of them drain.
+    if ads is not None and not ads[0].startswith("127.") and ads[0] not in ("localhost", "::1"):
+        raise ConfigError(f"xds.ads: {ads[0]} is not loopback, and the streams have no TLS")
+    if table.lease_ms and table.renew_ms > table.lease_ms / 2:
+        raise ConfigError("xds.renew_ms must be half of xds.lease_ms at most: one renewal may be lost")
+    return XdsConfig(
+        listen=None if table.listen is None else address(table.listen, "xds.listen"),
+        cluster=table.cluster,
+        ads=ads,
+        districts=tuple(table.districts),
+        nodes=frozenset(table.nodes),
+        lease=table.lease_ms * MILLISECOND,
+        renew=table.renew_ms * MILLISECOND,
+        gather=table.gather_ms * MILLISECOND,
+        weight_band=table.weight_band,
+        changes_per_s=table.changes_per_s,
+        streams_most=table.streams_most,
+        first_pushes_per_s=table.first_pushes_per_s,
+        catch_up=table.catch_up_ms * MILLISECOND,
+    )
 
 
 def _traffic(file: str, interval_ms: int) -> TrafficConfig:
@@ -370,8 +420,17 @@
     )
 
 
-def _sip(file: OperatorFile) -> SipConfig:
+def _servers(file: OperatorFile) -> tuple[Server, ...]:
+    entries = tuple(_server(entry, index) for index, entry in enumerate(file.servers))
+    if len({server.id for server in entries}) < len(entries):
+        raise ConfigError("servers: an id is given twice")
+    return entries
+
+
+def _sip(file: OperatorFile, entries: tuple[Server, ...]) -> SipConfig:
     table = file.sip
+    if table is None:
+        raise ConfigError("sip is missing")
     given = {"udp": table.udp, "tcp": table.tcp}
     listen = {key: address(value, f"sip.{key}") for key, value in given.items() if value is not None}
     if not listen:
@@ -379,12 +438,9 @@
     default_class = table.default_class if table.default_class is not None else file.classes[0].name
     if default_class not in [kind.name for kind in file.classes]:
         raise ConfigError(f"sip.default_class names no class: {default_class!r}")
-    entries = [_server(entry, index) for index, entry in enumerate(file.servers)]
     for index, server in enumerate(entries):
         if server.transport not in listen:  # its requests to us would find nobody
             raise ConfigError(f"servers.{index}.transport: sip.{server.transport} is off")
-    if len({server.id for server in entries}) < len(entries):
-        raise ConfigError("servers: an id is given twice")
     return SipConfig(
         udp=listen.get("udp"),
         tcp=listen.get("tcp"),
@@ -394,14 +450,17 @@
         t4=table.t4_ms * MILLISECOND,
         calls_most=table.calls_most,
         transactions_most=table.transactions_most,
-        servers=tuple(entries),
+        servers=entries,
     )
 
 
 def _server(entry: schema.LogServer, index: int) -> Server:
     where = address(entry.address, f"servers.{index}.address")
     number = index if entry.number is None else entry.number
-    return Server(entry.id, where, number, ServerStatus.READY, transport=entry.transport.value)
+    status = ServerStatus(entry.state.value)
+    return Server(
+        entry.id, where, number, status, transport=entry.transport.value, district=entry.district
+    )
 
 
 def check_numbers(settings: dict[str, Any]) -> None:
--- a/mallowquay/core/model.py
+++ b/mallowquay/core/model.py
@@ -55,6 +55,7 @@
     status: ServerStatus
     started: timedelta | None = None
     transport: str = "tcp"
+    district: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowquay/schema.py
+++ b/mallowquay/schema.py
@@ -25,6 +25,13 @@
     TCP = "tcp"
 
 
+class ServerState(Enum):
+    """Whether a log server of the file takes new calls."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
 class Table(Struct, frozen=True, forbid_unknown_fields=True):
     """A table: a misspelt key must not pass for its default."""
 
@@ -60,6 +67,8 @@
     address: Address
     number: int | None = None  # else its place in the file
     transport: TransportName = TransportName.UDP
+    state: ServerState = ServerState.READY
+    district: str = ""
 
 
 class Limits(Table, frozen=True):
@@ -83,10 +92,21 @@
 
 
 class Xds(Table, frozen=True):
-    """`[xds]`: the module's ratings for other proxies."""
+    """`[xds]`: the module's ratings for other proxies. `listen`: REST polls; `ads`: gRPC streams."""
 
-    listen: Address
+    listen: Address | None = None
+    ads: Address | None = None
     cluster: str = "log-servers"
+    districts: list[str] = []  # the order of priorities; without it all districts are alike
+    nodes: list[str] = []  # node ids that may come; all if none is named
+    lease_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 450  # 0: what proxies hold never runs out
+    renew_ms: Annotated[int, Meta(ge=10, le=3_600_000)] = 150
+    gather_ms: Annotated[int, Meta(ge=0, le=10_000)] = 20
+    weight_band: Annotated[float, Meta(ge=0, le=1)] = 0.2
+    changes_per_s: Annotated[float, Meta(gt=0, le=1000)] = 2.0
+    streams_most: Annotated[int, Meta(gt=0, le=100_000)] = 2000
+    first_pushes_per_s: Annotated[float, Meta(gt=0, le=100_000)] = 500.0
+    catch_up_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 10_000
 
 
 class Traffic(Table, frozen=True):
@@ -100,7 +120,7 @@
     """The whole file."""
 
     classes: list[CallClass]
-    sip: Sip
+    sip: Sip | None = None  # `control-plane` needs none
     servers: list[LogServer] = []
     limits: Limits = Limits()
     gatekeepers: Count = 1
--- a/mallowquay/service.py
+++ b/mallowquay/service.py
@@ -35,7 +35,9 @@
 from .operation.twin import Twin
 
 if TYPE_CHECKING:
+    from .controlplane.streams import Hub
     from .fronts.sip.front import SipFront
+    from .fronts.sip.servers import SipServers
     from .traffic.recording import Recording
 
 log = structlog.get_logger(part=__name__)
@@ -71,6 +73,8 @@
         self.addresses: dict[str, Any] = {}  # for the log
         self.listeners: list[socket.socket] = []
         self.unreadable: Callable[[], int] = lambda: 0  # messages that were dropped or answered as bad
+        self.shown: Callable[[ListTold], None] = lambda news: None  # told of the list for other proxies
+        self.hub: Hub | None = None
         self._reload: Callable[[Config], None] = lambda settings: None  # what a new file changes at once
 
     def start_platform(self, platform: PlatformConfig) -> None:
@@ -161,13 +165,16 @@
             self.calls.list_told(news)
             servers.list_told(news)
             self.operation.list_known = True
+            self.shown(news)
 
+        if self.config.xds is not None and self.config.xds.ads is not None:
+            transport.spawn(self._start_streams(servers))
         if self.config.consul is not None:
             transport.spawn(Consul(self.config.consul, UnixTime(), told, chance).follow())
         else:
             told(ListTold(sip.servers, whole=True))
             self._reload = partial(self._reload_sip, told)
-        if self.config.xds is not None:
+        if self.config.xds is not None and self.config.xds.listen is not None:
             start = f"{secrets.randbits(32):08x}"
             endpoints = Endpoints(
                 self.config.xds.cluster, self.decisions.ratings, lambda: servers.servers, start
@@ -181,6 +188,14 @@
         places = [f"{name} {host}:{port}" for name, (host, port) in transport.listening().items()]
         self.addresses = {"at": places}
 
+    async def _start_streams(self, servers: SipServers) -> None:
+        """The control plane beside the front: proxies are shown what this front knows."""
+        from .controlplane.service import start
+
+        plane, self.hub, self.streams = await start(self.config, self.decisions.ratings, lambda place: None)
+        plane.list_told(ListTold(tuple(servers.servers.values()), whole=True))
+        self.shown = plane.list_told
+
     def _later(self, delay: timedelta, action: Callable[[], None]) -> asyncio.TimerHandle:
         return asyncio.get_running_loop().call_later(delay.total_seconds(), action)
 
@@ -216,6 +231,7 @@
             "members_unavailable": self.decisions.avoided(),
             "config_reloads": self.reloads,
             "config_reload_errors": self.reload_errors,
+            **({"xds": self.hub.figures()} if self.hub is not None else {}),
         }
 
     def _retune(self, settings: Config) -> None:
