--- a/mallowquay/controlplane/subscriptions.py
+++ b/mallowquay/controlplane/subscriptions.py
@@ -96,10 +96,10 @@
         self.names: set[str] = set()
         self.wildcard = False
         self.begun = False
-        self.acknowledged = self.refused = self.strangers = 0
+        self.acknowledged = self.refused = 0
         self.unacknowledged_since: timedelta | None = None
         self._nonce, self._count = "", 0
-        self._sent_nonces: set[str] = set()
+        self._sequence: int | None = None  # of the snapshot that the latest response came from
         self._renewed_at: timedelta | None = None
 
     def _bounded(self, names: Iterable[str]) -> set[str]:
@@ -118,13 +118,10 @@
 
     def _next_nonce(self, snapshot: Snapshot, now: timedelta) -> str:
         """Shared by all streams while a stream gets one response a snapshot; then the stream's own."""
-        nonce = f"{snapshot.sequence:x}"
-        if nonce in self._sent_nonces:
-            self._count += 1
-            nonce = f"{nonce}-{self._count:x}"
-        # Only the latest can be acknowledged; those of this snapshot are kept to tell them apart.
-        kept = {old for old in self._sent_nonces if old.partition("-")[0] == nonce.partition("-")[0]}
-        self._sent_nonces = {*kept, nonce}
+        # Only the latest can be acknowledged; renewals of one snapshot are counted, not kept.
+        self._count = self._count + 1 if snapshot.sequence == self._sequence else 0
+        self._sequence = snapshot.sequence
+        nonce = f"{snapshot.sequence:x}-{self._count:x}" if self._count else f"{snapshot.sequence:x}"
         self._nonce = nonce
         if self.unacknowledged_since is None:
             self.unacknowledged_since = now
@@ -132,10 +129,7 @@
 
     def _heard(self, ask: Ask) -> bool:
         """Take the acknowledgement that an ask may be; True if it speaks of the latest response."""
-        if not ask.nonce:
-            return False
-        if ask.nonce != self._nonce:
-            self.strangers += ask.nonce not in self._sent_nonces
+        if not ask.nonce or ask.nonce != self._nonce:
             return False
         self.unacknowledged_since = None
         if ask.refusal is None:
--- a/tests/test_control_service.py
+++ b/tests/test_control_service.py
@@ -14,7 +14,7 @@
 
 import grpc
 from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
-from support import WAIT, free_port
+from support import WAIT, Process, free_port
 from test_operation import control_call
 from xds_proxies import CLUSTER, CallServer, Service, StandIn
 
@@ -181,6 +181,44 @@
         self.service.process.wait_for("all 3 log servers drain")
 
 
+class BesideTest(unittest.TestCase):
+    def test_a_front_shows_proxies_its_list_and_its_drains(self) -> None:
+        ports = [free_port() for _ in range(4)]
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        file = folder / "beside.toml"
+
+        def write(state: str) -> None:
+            file.write_text(
+                f'control = "127.0.0.1:{ports[1]}"\n[sip]\ntcp = "127.0.0.1:{ports[2]}"\n'
+                f'[xds]\nads = "127.0.0.1:{ports[0]}"\n'
+                '[[classes]]\nname = "a"\naim_ms = 2000\ndeadline_ms = 9000\n'
+                f'[[servers]]\nid = "s"\naddress = "127.0.0.1:{ports[3]}"\ntransport = "tcp"\n'
+                f'state = "{state}"\n'
+            )
+
+        write("ready")
+        process = Process([str(file)], {})
+        self.addCleanup(process.stop)
+        process.wait_for("serving")
+
+        async def follows() -> None:
+            proxy = StandIn(1, ports[0], delta=True)
+            proxy.connect()
+            for draining in (False, True):
+                async with asyncio.timeout(WAIT):
+                    while proxy.endpoints.get(ports[3], (None,))[0] is not draining:
+                        proxy.heard.clear()
+                        await proxy.heard.wait()
+                write("draining")
+                process.hang_up()
+            await proxy.disconnect()
+
+        asyncio.run(follows())
+        self.assertEqual(control_call(ports[1], "GET", "/stats")[1]["xds"]["streams_opened"], 1)
+        process.terminate()
+        self.assertEqual(process.process.wait(10), 0)
+
+
 class FileTest(unittest.TestCase):
     def fault(self, text: str) -> str:
         with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
--- a/tests/test_subscriptions.py
+++ b/tests/test_subscriptions.py
@@ -212,6 +212,19 @@
         renewed = first.machine.next(state(1, a=b"x"), now + 150 * MS)
         self.assertTrue(renewed is not None and renewed.beat)
 
+    def test_a_day_of_renewals_keeps_nothing(self) -> None:
+        for made in (World, Delta):
+            machine, now, nonces = made(END, LEASE, PATIENCE), timedelta(0), set()
+            machine.ask(Ask(END, ("a",)), now)
+            for _ in range(3000):
+                response = machine.next(state(1, a=b"x"), now)
+                assert response is not None
+                nonces.add(response.nonce)
+                now += LEASE.renew
+            self.assertEqual(len(nonces), 3000)  # each can be told from the others
+            kept = [value for value in vars(machine).values() if isinstance(value, (set, dict, list))]
+            self.assertLessEqual(max(map(len, kept)), 16)
+
     def test_too_many_names_end_the_stream(self) -> None:
         names = tuple(map(str, range(NAMES_MOST + 1)))
         for made in (World, Delta):
