Lay configuration out as one package and the wiring as one assembly a concern

Settings are a package (values, model, common, platform, operator, schema, reload); the wiring is a list of assemblies (front with its list, control plane, second address, record), each with start, admit, reload, stop and end, carried out in one order. Callers are let in last, when all that stands beside the front is open.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(VENV)/bin/mypy
 
 test:
-	OPENBLAS_NUM_THREADS=1 $(PYTHON) -m pytest -q tests
+	OPENBLAS_NUM_THREADS=1 $(PYTHON) -m pytest -q -n auto --durations=10 tests
 
 endurance:
 	$(PYTHON) tests/sip_peers.py --calls 100000
--- /dev/null
+++ b/mallowquay/assembly/sip.py
@@ -0,0 +1,83 @@
+"""The second front, and its list from the operator's file or from Consul.
+
+Loaded only where it is set up: two processes of the platform share one allowance of memory at an upgrade.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from functools import partial
+
+from ..core.model import ListTold
+from ..fronts.sip.front import SipFront
+from ..fronts.sip.servers import SipServers
+from ..fronts.sip.transactions import Timers, Transactions
+from ..fronts.sip.transport import Transport
+from ..membership.consul import Consul
+from ..net.clock import UnixTime, monotonic
+from ..settings import SOCKETS_KEPT, Config, SipConfig
+from .base import Assembly, Heart
+
+
+class SipAssembly(Assembly):
+    """Serve SIP over UDP and TCP."""
+
+    def __init__(self, heart: Heart, sip: SipConfig) -> None:
+        self._heart, self._sip = heart, sip
+
+    async def start(self) -> None:
+        """Take the list."""
+        heart, sip, settings = self._heart, self._sip, self._heart.config
+        chance = random.Random(settings.seed)
+        tag = partial(_tag, chance)
+        most = settings.sockets - SOCKETS_KEPT
+        transport = self._transport = Transport(heart.loop, settings.connect_timeout, most)
+        timers = Timers(sip.t1, sip.t2, sip.t4)
+        layer = Transactions(transport, timers, _later, tag, sip.transactions_most)
+        heart.unreadable = lambda: transport.garbage
+        transport.take, transport.lost = layer.take, layer.connection_lost
+        servers = SipServers(heart.calls, layer, monotonic, tag)
+        heart.calls.attach(servers)
+        heart.listed = lambda: servers.servers
+        self.front = heart.front = SipFront(
+            heart.calls, layer, servers, monotonic, tag, sip, settings.classes, settings.end_margin,
+            heart.operation,
+        )  # fmt: skip
+        self._told = partial(heart.told, side=servers.list_told)
+        if settings.consul is not None:
+            transport.spawn(Consul(settings.consul, UnixTime(), self._told, chance).follow())
+        else:
+            self._told(ListTold(sip.servers, whole=True))
+
+    def admit(self) -> None:
+        """Listen over what the file names. Errors: OSError."""
+        heart, sip, transport = self._heart, self._sip, self._transport
+        if sip.udp is not None:
+            transport.listen_udp(sip.udp)
+        if sip.tcp is not None:
+            transport.listen_tcp(sip.tcp)
+        heart.operation.listening = True
+        places = [f"{name} {host}:{port}" for name, (host, port) in transport.listening().items()]
+        heart.addresses = {"at": places}
+
+    def reload(self, settings: Config) -> None:
+        """The servers of the file become the list; classes may have changed."""
+        assert settings.sip is not None, "check_reload saw to it"
+        if self._heart.config.consul is None:
+            self._told(ListTold(settings.sip.servers, whole=True))
+        self.front.retune(settings.classes, settings.sip.default_class)
+
+    def settled(self, quiet_since: timedelta) -> bool:
+        """Callers have come for as long as they may, and what they are owed is written."""
+        return monotonic() >= quiet_since and self.front.settled()
+
+
+def _later(delay: timedelta, action: Callable[[], None]) -> asyncio.TimerHandle:
+    return asyncio.get_running_loop().call_later(delay.total_seconds(), action)
+
+
+def _tag(chance: random.Random) -> str:
+    return f"{chance.getrandbits(64):016x}"
--- a/mallowquay/cli/emulate.py
+++ b/mallowquay/cli/emulate.py
@@ -23,7 +23,7 @@
     and the exit code is 1.
     """
     from ..emulator import report, run, scenario
-    from ..schema import SchemaFault
+    from ..settings.schema import SchemaFault
 
     try:
         played = scenario.load(file)
--- a/mallowquay/cli/serving.py
+++ b/mallowquay/cli/serving.py
@@ -32,10 +32,11 @@
 
     Exit code 2 where it cannot be used; the message names the key.
     """
-    from .. import config
+    from ..settings import ConfigError
+    from ..settings.operator import described
 
     try:
-        text = config.described(file)
-    except config.ConfigError as fault:
+        text = described(file)
+    except ConfigError as fault:
         raise click.UsageError(f"configuration: {fault}") from fault
     click.echo(text, nl=False)
--- a/mallowquay/controlplane/service.py
+++ b/mallowquay/controlplane/service.py
@@ -15,8 +15,6 @@
 
 import structlog
 
-from .. import config
-from ..config import Config, ConfigError, XdsConfig
 from ..core.decisions import Decisions
 from ..core.model import ListTold, LoadTold, Rating
 from ..membership.consul import Consul
@@ -24,6 +22,8 @@
 from ..net.tasks import Tasks
 from ..operation.control import serve as serve_control
 from ..operation.readiness import Operation
+from ..settings import MICROSECOND, Config, ConfigError, XdsConfig, check_reload, fixed_changes
+from ..settings.operator import load_control_plane
 from .pacing import Pace
 from .plane import Plane
 from .streams import Hub, Terms, listen
@@ -50,7 +50,7 @@
     xds = settings.xds
     assert xds is not None and xds.ads is not None, "config checked it"
     hub = Hub(terms_of(xds), monotonic)
-    aim = min(kind.aim for kind in settings.settings.classes) * config.MICROSECOND
+    aim = min(kind.aim for kind in settings.settings.classes) * MICROSECOND
     pace = Pace(xds.gather, xds.weight_band, xds.changes_per_s)
 
     def unix_ms() -> int:
@@ -81,8 +81,8 @@
 
     def reload() -> None:
         try:
-            new = config.load_control_plane(path)
-            config.check_reload(settings, new)
+            new = load_control_plane(path)
+            check_reload(settings, new)
         except ConfigError as fault:
             counts["config_reload_errors"] += 1
             log.error("configuration_not_taken", fault=str(fault))
@@ -91,7 +91,7 @@
         decisions.retune(new.settings)
         if new.consul is None:
             told(ListTold(new.servers, whole=True))
-        log.info("configuration_taken", at_next_start=config.fixed_changes(settings, new))
+        log.info("configuration_taken", at_next_start=fixed_changes(settings, new))
 
     async def pulse() -> None:
         while True:
@@ -136,7 +136,7 @@
     """Serve until asked to end; the exit code: 0 as asked, 1 failed, 2 the file cannot be used."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it means a new file, and the file is yet to be read
     try:
-        settings = config.load_control_plane(path)
+        settings = load_control_plane(path)
     except ConfigError as fault:
         print(f"mallowquay: configuration: {fault}", file=sys.stderr)
         return 2
--- a/mallowquay/emulator/scenario.py
+++ b/mallowquay/emulator/scenario.py
@@ -10,8 +10,8 @@
 import msgspec
 from msgspec import Meta
 
-from ..config import flatten
-from ..schema import SchemaFault, Table, explained
+from ..settings import flatten
+from ..settings.schema import SchemaFault, Table, explained
 
 Positive = Annotated[float, Meta(gt=0)]
 NotNegative = Annotated[float, Meta(ge=0)]
--- a/mallowquay/fronts/platform/front.py
+++ b/mallowquay/fronts/platform/front.py
@@ -13,7 +13,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
-from ...config import ClassConfig
+from ...settings import ClassConfig
 from ...core.calls import Call, Calls, CallState
 from ...core.model import Clock, Ending, FinalAnswer, Request, Verdict
 from ...net.seldom import Seldom
--- a/mallowquay/fronts/platform/handover.py
+++ b/mallowquay/fronts/platform/handover.py
@@ -11,7 +11,7 @@
 
 from tornado.iostream import IOStream
 
-from ...config import SOCKETS_KEPT
+from ...settings import SOCKETS_KEPT
 from ...core.calls import Call, Calls, CallState
 from ...net.streams import WRITE_BUFFER_MOST
 from ...net.tasks import Tasks
--- a/mallowquay/fronts/sip/front.py
+++ b/mallowquay/fronts/sip/front.py
@@ -9,7 +9,7 @@
 import structlog
 from tornado.ioloop import PeriodicCallback
 
-from ...config import OTHER, ClassConfig, SipConfig
+from ...settings import OTHER, ClassConfig, SipConfig
 from ...core.calls import Call, Calls
 from ...core.model import Clock, Ending, FinalAnswer, Request, Verdict
 from ...operation.readiness import Operation
--- a/mallowquay/fronts/sip/transport.py
+++ b/mallowquay/fronts/sip/transport.py
@@ -13,7 +13,7 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from ...config import OTHER
+from ...settings import OTHER
 from ...core.model import Ending
 from ...net.streams import (
     MESSAGE_MOST,
--- a/mallowquay/membership/consul.py
+++ b/mallowquay/membership/consul.py
@@ -14,7 +14,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
-from ..config import OTHER, ConsulConfig
+from ..settings import OTHER, ConsulConfig
 from ..core.model import ListTold, Server, ServerStatus
 from ..net.clock import UnixTime
 
--- a/mallowquay/net/http.py
+++ b/mallowquay/net/http.py
@@ -12,7 +12,7 @@
 class BoundedServer(HTTPServer):
     """At its bound a newcomer is refused or, with `gives_way`, the connection that is open longest closes."""
 
-    most = 32  # of the descriptors that config.SOCKETS_KEPT keeps
+    most = 32  # of the descriptors that settings.SOCKETS_KEPT keeps
     gives_way = False
 
     def initialize(self, *arguments: Any, **named: Any) -> None:
--- a/mallowquay/operation/control.py
+++ b/mallowquay/operation/control.py
@@ -12,7 +12,7 @@
 from ..net.http import BoundedServer
 from .readiness import Operation
 
-PLACES = 16  # connections at once, of the descriptors that config.SOCKETS_KEPT keeps
+PLACES = 16  # connections at once, of the descriptors that settings.SOCKETS_KEPT keeps
 CALL_WITHIN = timedelta(seconds=5)  # a connection that finishes no call by then is closed
 HEAD_MOST, BODY_MOST = 8 * 1024, 4 * 1024
 
--- /dev/null
+++ b/mallowquay/settings/model.py
@@ -0,0 +1,121 @@
+"""What the program is told, once it is checked, and the defaults that no file sets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any
+
+from quincestand import Settings
+
+from ..core.model import Server
+
+OTHER = {"udp": "tcp", "tcp": "udp"}
+
+# --- defaults ------------------------------------------------------------------------------------
+END_MARGIN = timedelta(milliseconds=60)  # the module's last word comes so long before the caller gives up,
+# beyond its own margin: the event loop may lag
+GUARD_MARGIN = timedelta(milliseconds=10)  # and the guard of the core speaks so long before that end
+SOCKETS_KEPT = 64  # descriptors kept for log servers, the coordinator and the program itself
+DEFAULT_SOCKETS = 1024
+SPAN_MOST = 24 * 3600 * 1_000_000  # microseconds; no call waits for longer
+ATTEMPTS_MOST = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class ClassConfig:
+    """A class of calls as the fronts need it."""
+
+    index: int
+    name: str
+    deadline: timedelta
+    width: int = 1  # lines that a call of it may ask for
+    destinations: frozenset[int] | None = None  # numbers that log servers have; None = any
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformConfig:
+    """What the platform's fronts need."""
+
+    name: str
+    listen: tuple[str, int]
+    coordinator: tuple[str, int]
+    known: dict[str, Any]
+    inherited: int | None = None  # the descriptor of a listening socket that the platform holds
+    meeting: str | None = None  # the folder in which two processes of an upgrade meet
+
+
+@dataclass(frozen=True, slots=True)
+class SipConfig:
+    """The second front: SIP over UDP and TCP, set up by an operator's file."""
+
+    udp: tuple[str, int] | None
+    tcp: tuple[str, int] | None
+    default_class: str
+    t1: timedelta
+    t2: timedelta
+    t4: timedelta
+    calls_most: int
+    transactions_most: int
+    servers: tuple[Server, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConsulConfig:
+    """Consul as the source of the server list."""
+
+    address: tuple[str, int]
+    service: str
+    datacenter: str
+    token: str
+    wait: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class XdsConfig:
+    """The module's ratings for other proxies: REST polls, and gRPC streams with their terms."""
+
+    listen: tuple[str, int] | None
+    cluster: str
+    ads: tuple[str, int] | None = None
+    districts: tuple[str, ...] = ()
+    nodes: frozenset[str] = frozenset()
+    lease: timedelta = timedelta(0)
+    renew: timedelta = timedelta(0)
+    gather: timedelta = timedelta(0)
+    weight_band: float = 0.0
+    changes_per_s: float = 1.0
+    streams_most: int = 1
+    first_pushes_per_s: float = 1.0
+    catch_up: timedelta = timedelta(0)
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficConfig:
+    """The record of what the core sees."""
+
+    file: str
+    interval: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that the program is told."""
+
+    settings: Settings
+    classes: dict[str, ClassConfig]
+    seed: int
+    release_wait: timedelta
+    connect_timeout: timedelta
+    default_gap: timedelta
+    end_margin: timedelta
+    guard_margin: timedelta
+    sockets: int
+    platform: PlatformConfig | None = None
+    sip: SipConfig | None = None
+    servers: tuple[Server, ...] = ()  # of the file, where no front has them
+    consul: ConsulConfig | None = None
+    xds: XdsConfig | None = None
+    control: tuple[str, int] | None = None  # the second address
+    traffic: TrafficConfig | None = None
+    keys: dict[str, str] = field(default_factory=dict)  # of the file, but for those of its lists, with kinds
--- /dev/null
+++ b/mallowquay/settings/platform.py
@@ -0,0 +1,67 @@
+"""The platform's configuration: the JSON that the environment names."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import replace
+from typing import Any
+
+from .common import common
+from .model import DEFAULT_SOCKETS, Config, PlatformConfig, TrafficConfig
+from .values import MILLISECOND, ConfigError, address, keys_of, read_seed, want
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """The platform's configuration, which the environment names."""
+    path = environment.get("LB_CONFIG")
+    if not path:
+        raise ConfigError("LB_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            document = json.load(file)
+    except OSError as fault:
+        raise ConfigError(f"LB_CONFIG: {path}: {fault.strerror}") from fault
+    except ValueError as fault:
+        raise ConfigError(f"LB_CONFIG: {path} is not JSON: {fault}") from fault
+    return platform_config(document, environment)
+
+
+def platform_config(document: Any, environment: Mapping[str, str]) -> Config:
+    """Check the platform's configuration."""
+    if not isinstance(document, dict):
+        raise ConfigError("LB_CONFIG does not hold an object")
+    listen = environment.get("LB_LISTEN") or want(document, "listen", str)
+    platform = PlatformConfig(
+        name=environment.get("LB_NAME") or document.get("name", "gatekeeper"),
+        listen=address(listen, "listen"),
+        coordinator=address(want(document, "coordinator", str), "coordinator"),
+        known=want(document, "known", dict),
+        inherited=_descriptor(environment.get("LB_SOCKET_FD")),
+        meeting=environment.get("TMPDIR"),
+    )
+    limits = document.get("limits", {})
+    sockets = want(limits, "sockets", int, "limits.") if "sockets" in limits else DEFAULT_SOCKETS
+    settings = want(document, "settings", dict)
+    control = environment.get("LB_CONTROL") or document.get("control")
+    return replace(
+        common(settings, read_seed(document.get("seed", "0")), sockets, platform=platform),
+        control=None if control is None else address(control, "control"),
+        traffic=_platform_traffic(document["traffic"]) if "traffic" in document else None,
+        keys=dict(keys_of({key: value for key, value in document.items() if key != "known"})),
+    )
+
+
+def _platform_traffic(table: Any) -> TrafficConfig:
+    interval = want(table, "interval_ms", int, "traffic.") if "interval_ms" in table else 1000
+    if not 100 <= interval <= 3_600_000:
+        raise ConfigError(f"traffic.interval_ms must lie between 100 and 3600000, not {interval}")
+    return TrafficConfig(want(table, "file", str, "traffic."), interval * MILLISECOND)
+
+
+def _descriptor(text: str | None) -> int | None:
+    if not text:
+        return None
+    if not text.isascii() or not text.isdigit():
+        raise ConfigError(f"LB_SOCKET_FD must be the number of a descriptor, not {text!r}")
+    return int(text)
--- a/mallowquay/schema.py
+++ b/mallowquay/settings/schema.py
@@ -1,6 +1,6 @@
-"""The operator's file as a schema: every key, its kind, its bounds and its default. `config.py` reads it.
+"""The operator's file as a schema: every key, its kind, its bounds and its default. `operator.py` reads it.
 
-Keys carry their unit; `config.py` turns them into spans and addresses. Only an operator's file needs this
+Keys carry their unit; `operator.py` turns them into spans and addresses. Only an operator's file needs this
 module, so the platform's run line does not load it.
 """
 
--- a/tests/test_control_service.py
+++ b/tests/test_control_service.py
@@ -19,7 +19,8 @@
 from xds_proxies import CLUSTER, CallServer, Service, StandIn
 
 from mallowquay.cli import program
-from mallowquay.config import ConfigError, load_control_plane
+from mallowquay.settings import ConfigError
+from mallowquay.settings.operator import load_control_plane
 from mallowquay.controlplane.snapshot import Kind
 from mallowquay.controlplane.streams import MESSAGE_MOST
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,7 +10,7 @@
 
 from support import ROOT, SETTINGS
 
-from mallowquay import config
+from mallowquay import settings as config
 from mallowquay.core.calls import Call, Calls, CallState
 from mallowquay.core.decisions import OUTCOMES, Decisions
 from mallowquay.core.figures import Figures
@@ -30,6 +30,7 @@
 )
 from mallowquay.fronts.platform.servers import ending_of
 from mallowquay.fronts.statuses import ENDINGS, STATUSES
+from mallowquay.settings.operator import load_operator
 from quincestand import Outcome
 from quincestand.wire import read_settings
 
@@ -306,7 +307,7 @@
 
     def test_the_operators_file(self) -> None:
         text = (ROOT / "deploy" / "sip.toml").read_text()
-        good = config.load_operator(str(ROOT / "deploy" / "sip.toml"))
+        good = load_operator(str(ROOT / "deploy" / "sip.toml"))
         assert good.sip is not None
         self.assertEqual((good.sip.t1, len(good.sip.servers)), (500 * MS, 2))
         for old, new, named in (
@@ -322,7 +323,7 @@
                 file.write(text.replace(old, new, 1))
                 file.flush()
                 with self.assertRaises(config.ConfigError) as caught:
-                    config.load_operator(file.name)
+                    load_operator(file.name)
                 self.assertIn(named, str(caught.exception))
 
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -23,7 +23,7 @@
 from mallowquay.emulator.scenario import (
     CallerClass, Callers, Decider, Incident, Kind, Scenario, Servers, Surge, check,
 )  # fmt: skip
-from mallowquay.schema import SchemaFault
+from mallowquay.settings.schema import SchemaFault
 
 ROOT = Path(__file__).resolve().parents[1]
 LINES = Scenario(
--- a/tests/test_twin.py
+++ b/tests/test_twin.py
@@ -10,7 +10,7 @@
 
 from tornado.ioloop import IOLoop
 
-from mallowquay.config import SOCKETS_KEPT
+from mallowquay.settings import SOCKETS_KEPT
 from mallowquay.fronts.platform.handover import Handover
 from mallowquay.operation.twin import Packet, Wire
 
