--- a/mallowquay/assembly/base.py
+++ b/mallowquay/assembly/base.py
@@ -12,6 +12,7 @@
 from ..core.figures import Figures
 from ..core.model import ListTold, Server
 from ..net.clock import Metronome, monotonic
+from ..operation.control import Page
 from ..operation.readiness import Operation
 from ..settings import Config
 
@@ -70,6 +71,7 @@
         self.addresses: dict[str, Any] = {}  # for the log
         self.unreadable: Callable[[], int] = lambda: 0  # messages that were dropped or answered as bad
         self.listed: Callable[[], Mapping[str, Server]] = dict  # the list as the server side has it
+        self.pages: list[Page] = []  # of subsystems, on the second address
         self.shown: list[Callable[[ListTold], None]] = []  # who else is told of the list
 
     def told(self, news: ListTold, side: Callable[[ListTold], None]) -> None:
--- a/mallowquay/assembly/beside.py
+++ b/mallowquay/assembly/beside.py
@@ -56,7 +56,8 @@
 
     async def start(self) -> None:
         """Listen. Errors: OSError."""
-        self._server = serve_control(self._heart.operation, self._told, self._address)
+        heart = self._heart
+        self._server = serve_control(heart.operation, self._told, self._address, heart.pages)
 
 
 class RecordAssembly(Assembly):
--- a/mallowquay/cli/__init__.py
+++ b/mallowquay/cli/__init__.py
@@ -16,6 +16,7 @@
     "dimension": "dimension",
     "traffic": "traffic",
     "emulate": "emulate",
+    "fleet": "fleet",
 }
 
 
--- /dev/null
+++ b/mallowquay/cli/fleet.py
@@ -0,0 +1,105 @@
+"""`mallowquay fleet`: the fleet as a running member sees it, and what an operator does in it."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from urllib.error import HTTPError, URLError
+from urllib.parse import urlencode
+from urllib.request import ProxyHandler, build_opener
+
+import click
+
+ANSWERS_WITHIN_S = 5.0
+
+
+@click.group()
+def fleet() -> None:
+    """Look at a fleet of gatekeepers, and act in it."""
+
+
+def ask(file: str, path: str, names: tuple[str, ...] | None = None) -> dict[str, Any]:
+    """Call a running member's second address, which its FILE names. Errors: click.ClickException."""
+    from ..settings import ConfigError
+    from ..settings.operator import load_operator
+
+    try:
+        settings = load_operator(file)
+    except ConfigError as fault:
+        raise click.UsageError(f"configuration: {fault}") from fault
+    if settings.fleet is None:
+        raise click.UsageError("configuration: fleet is missing")
+    if settings.control is None:
+        raise click.UsageError("configuration: control is missing: a running member is asked there")
+    host, port = settings.control
+    data = None if names is None else urlencode([("names", name) for name in names]).encode()
+    try:
+        # Straight to this machine, whatever proxy the environment names.
+        opener = build_opener(ProxyHandler({}))
+        with opener.open(f"http://{host}:{port}{path}", data, timeout=ANSWERS_WITHIN_S) as answer:
+            found: dict[str, Any] = json.load(answer)
+            return found
+    except HTTPError as fault:
+        with fault:
+            text = json.loads(fault.read() or b"{}").get("fault", fault.reason)
+        raise click.ClickException(str(text)) from fault
+    except (URLError, OSError, ValueError) as fault:
+        raise click.ClickException(f"{host}:{port} does not answer: {fault}") from fault
+
+
+@fleet.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--json", "as_json", is_flag=True, help="Everything, as one object.")
+def show(file: str, as_json: bool) -> None:
+    """Print the fleet as the running member of FILE sees it.
+
+    Exit code 3 where it knows of no majority now: what it shows may be old.
+    """
+    told = ask(file, "/fleet")
+    if as_json:
+        click.echo(json.dumps(told, indent=1))
+    else:
+        click.echo(described(told))
+    if not told["majority"]:
+        click.get_current_context().exit(3)
+
+
+def described(told: dict[str, Any]) -> str:
+    """A few lines and a table."""
+    from tabulate import tabulate
+
+    held = f"holds for {told['lease_ms']} ms" if told["majority"] else "NO MAJORITY IS HEARD: this may be old"
+    lines = [
+        f"{told['name']}, life {told['life']}, disk {told['trust']}",
+        f"view {told['view']} of term {told['view_term']}, led by {told['leader'] or 'nobody'}: {held}",
+    ]
+    if told["stood_down"]:
+        lines.append(f"STOOD DOWN: life {told['stood_down']} has this name")
+    if told["forced"]:
+        lines.append(f"members were given up for lost {told['forced']} times")
+    rows = []
+    for member in told["members"]:
+        facts = json.loads(member["facts"] or "{}")
+        name = member["name"] + ("" if member["name"] in told["configured"] else " (not in the view)")
+        rows.append(
+            [name, member["life"], member["state"], member["link"], member.get("round_trip_ms"),
+             member.get("heard_ms"), facts.get("list"), facts.get("settings"), facts.get("program")]
+        )  # fmt: skip
+    heads = ["member", "life", "state", "link", "trip ms", "heard ms", "list", "settings", "program"]
+    return "\n".join([*lines, "", tabulate(rows, heads, missingval="-")])
+
+
+@fleet.command("give-up")
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.argument("names", nargs=-1, required=True)
+@click.confirmation_option(
+    prompt="What only these members had promised is lost, and if one of them still runs there will be two "
+    "fleets. Go on?"
+)
+def give_up(file: str, names: tuple[str, ...]) -> None:
+    """Go on without the members NAMES, which are lost for good with a majority of the fleet.
+
+    Said to one member only, the one whose view is the newest (`fleet show` on each); the others follow it.
+    """
+    ask(file, "/fleet/give-up", names)
+    click.echo(f"given up: {', '.join(names)}")
--- a/mallowquay/operation/control.py
+++ b/mallowquay/operation/control.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
@@ -17,6 +18,7 @@
 HEAD_MOST, BODY_MOST = 8 * 1024, 4 * 1024
 
 Figures = Callable[[], dict[str, Any]]
+Action = Callable[[list[str]], None]  # errors: ValueError, with the reason
 
 
 class ControlServer(BoundedServer):
@@ -64,7 +66,43 @@
         self.finish({"drained": False})
 
 
-def serve(operation: Operation, figures: Figures, address: tuple[str, int]) -> HTTPServer:
+class _Page(RequestHandler):
+    def initialize(self, shown: Figures | None, act: Action | None) -> None:
+        self._shown, self._act = shown, act
+
+    def get(self) -> None:
+        """What a subsystem shows."""
+        if self._shown is None:
+            self.send_error(405)
+        else:
+            self.finish(self._shown())
+
+    def post(self) -> None:
+        """What an operator asks of it: `names`, one or more. 409 with the reason where it cannot be done."""
+        if self._act is None:
+            self.send_error(405)
+            return
+        try:
+            self._act(self.get_arguments("names"))
+        except ValueError as fault:
+            self.set_status(409)
+            self.finish({"fault": str(fault)})
+        else:
+            self.finish({"done": True})
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """A page of a subsystem on the second address."""
+
+    path: str
+    shown: Figures | None = None
+    act: Action | None = None
+
+
+def serve(
+    operation: Operation, figures: Figures, address: tuple[str, int], pages: Sequence[Page] = ()
+) -> HTTPServer:
     """Listen on the second address: one call per connection."""
     own = {"operation": operation}
     application = Application(
@@ -73,6 +111,7 @@
             ("/stats", _Stats, {**own, "figures": figures}),
             ("/healthcheck/fail", _Fail, own),
             ("/healthcheck/ok", _Ok, own),
+            *((page.path, _Page, {"shown": page.shown, "act": page.act}) for page in pages),
         ],
         log_function=lambda handler: None,
     )
--- a/mallowquay/service.py
+++ b/mallowquay/service.py
@@ -50,6 +50,10 @@
             from .assembly.sip import SipAssembly
 
             chosen.append(SipAssembly(heart, settings.sip))
+        if settings.fleet is not None:
+            from .assembly.fleet import FleetAssembly
+
+            chosen.append(FleetAssembly(heart, settings.fleet))
         if settings.xds is not None or settings.control is not None or settings.traffic is not None:
             from .assembly.beside import ControlAssembly, ControlPlaneAssembly, RecordAssembly
 
--- a/mallowquay/settings/model.py
+++ b/mallowquay/settings/model.py
@@ -98,6 +98,21 @@
     interval: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class FleetConfig:
+    """The other gatekeepers, and what this one is among them."""
+
+    name: str
+    listen: tuple[str, int]
+    disk: str
+    members: dict[str, tuple[str, int]]
+    period: timedelta
+    answer: timedelta
+    beat: timedelta
+    lease: timedelta
+    patience: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that the program is told."""
@@ -118,4 +133,5 @@
     xds: XdsConfig | None = None
     control: tuple[str, int] | None = None  # the second address
     traffic: TrafficConfig | None = None
+    fleet: FleetConfig | None = None
     keys: dict[str, str] = field(default_factory=dict)  # of the file, but for those of its lists, with kinds
--- a/mallowquay/settings/operator.py
+++ b/mallowquay/settings/operator.py
@@ -8,6 +8,7 @@
 import secrets
 import tomllib
 from dataclasses import replace
+from ipaddress import ip_address
 from math import isfinite
 from typing import Any
 
@@ -19,6 +20,7 @@
     SPAN_MOST,
     Config,
     ConsulConfig,
+    FleetConfig,
     SipConfig,
     TrafficConfig,
     XdsConfig,
@@ -87,10 +89,58 @@
     )
     control = None if file.control is None else address(file.control, "control")
     return replace(
-        whole_file, control=control, traffic=traffic, keys=dict(keys_of(document)), servers=servers
+        whole_file,
+        control=control,
+        traffic=traffic,
+        fleet=None if file.fleet is None else _fleet(file.fleet),
+        keys=dict(keys_of(document)),
+        servers=servers,
     )
 
 
+def _fleet(table: schema.Fleet) -> FleetConfig:
+    members: dict[str, tuple[str, int]] = {}
+    for index, member in enumerate(table.members):
+        key = f"fleet.members.{index}"
+        if member.name in members:
+            raise ConfigError(f"{key}.name: {member.name!r} is given twice")
+        members[member.name] = loopback(member.address, f"{key}.address")
+    if table.name not in members:
+        raise ConfigError(f"fleet.name: {table.name!r} is none of fleet.members")
+    if len(set(members.values())) < len(members):
+        raise ConfigError("fleet.members: an address is given twice")
+    if 4 * table.lease_ms > 3 * table.patience_ms:
+        # What lies between bears the drift of clocks and a member that is late to look at its own.
+        raise ConfigError("fleet.lease_ms must be three quarters of fleet.patience_ms at most")
+    if 3 * table.beat_ms > table.lease_ms:
+        raise ConfigError("fleet.beat_ms must be a third of fleet.lease_ms at most")
+    if 2 * table.answer_ms > table.period_ms:
+        raise ConfigError("fleet.answer_ms must be half of fleet.period_ms at most")
+    return FleetConfig(
+        name=table.name,
+        listen=loopback(table.listen, "fleet.listen"),
+        disk=table.disk,
+        members=members,
+        period=table.period_ms * MILLISECOND,
+        answer=table.answer_ms * MILLISECOND,
+        beat=table.beat_ms * MILLISECOND,
+        lease=table.lease_ms * MILLISECOND,
+        patience=table.patience_ms * MILLISECOND,
+    )
+
+
+def loopback(text: str, key: str) -> tuple[str, int]:
+    """An address that no other machine reaches: links between members have neither sign-in nor TLS yet."""
+    host, port = address(text, key)
+    try:
+        near = ip_address(host).is_loopback
+    except ValueError:
+        near = False
+    if not near:
+        raise ConfigError(f"{key}: {host} is not a loopback address, and links have no sign-in yet")
+    return host, port
+
+
 def _xds(table: schema.Xds) -> XdsConfig:
     if table.listen is None and table.ads is None:
         raise ConfigError("xds.listen or xds.ads must be given")
--- a/mallowquay/settings/reload.py
+++ b/mallowquay/settings/reload.py
@@ -23,7 +23,10 @@
 
 def taken(before: Config, after: Config) -> Config:
     """What holds after a reload: what changes at a start only stays as it was."""
-    return replace(after, **{name: getattr(before, name) for name in AT_START_ONLY})
+    fleet = before.fleet
+    if fleet is not None and after.fleet is not None:
+        fleet = replace(fleet, members=after.fleet.members)
+    return replace(after, fleet=fleet, **{name: getattr(before, name) for name in AT_START_ONLY})
 
 
 def fixed_changes(before: Config, after: Config) -> list[str]:
@@ -35,6 +38,8 @@
         ("control", before.control, after.control),
         ("traffic", before.traffic, after.traffic),
     ]
+    if before.fleet is not None and after.fleet is not None:
+        pairs.append(("fleet", replace(before.fleet, members={}), replace(after.fleet, members={})))
     if before.platform is not None and after.platform is not None:
         pairs.append(("listen", before.platform.listen, after.platform.listen))
     if before.sip is not None and after.sip is not None:
--- a/mallowquay/settings/schema.py
+++ b/mallowquay/settings/schema.py
@@ -116,6 +116,27 @@
     interval_ms: Annotated[int, Meta(ge=100, le=3_600_000)] = 1000
 
 
+class FleetMember(Table, frozen=True):
+    """`[[fleet.members]]`: this member, too."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=64)]
+    address: Address
+
+
+class Fleet(Table, frozen=True):
+    """`[fleet]`: the other gatekeepers, and what this one is among them."""
+
+    name: str
+    listen: Address
+    disk: str  # a folder that lasts; made if missing
+    members: Annotated[list[FleetMember], Meta(min_length=1, max_length=1000)]
+    period_ms: Annotated[int, Meta(ge=50, le=60_000)] = 400  # one other member is asked so often
+    answer_ms: Annotated[int, Meta(ge=10, le=10_000)] = 120  # then others are asked to ask it
+    beat_ms: Annotated[int, Meta(ge=20, le=10_000)] = 150  # the leader's word to each
+    lease_ms: Annotated[int, Meta(ge=100, le=60_000)] = 900  # for how long a view holds without it
+    patience_ms: Annotated[int, Meta(ge=150, le=120_000)] = 1400  # before another is elected
+
+
 class OperatorFile(Table, frozen=True):
     """The whole file."""
 
@@ -129,6 +150,7 @@
     xds: Xds | None = None
     control: Address | None = None
     traffic: Traffic | None = None
+    fleet: Fleet | None = None
 
 
 class SchemaFault(ValueError):
