--- a/mallowquay/fleet/detector.py
+++ b/mallowquay/fleet/detector.py
@@ -39,6 +39,7 @@
     suspicion_least: int = 3
     suspicion_most: int = 6  # times the least, without any
     spread: int = 4  # a rumour is told so often, times log10 of the fleet's size
+    table_every: int = 16  # periods: all that is known goes to one other
     held_up: timedelta = 300 * MILLISECOND  # a step that comes so late was held up
 
 
@@ -82,13 +83,15 @@
     ) -> None:  # fmt: skip
         self.name, self.terms, self._chance = name, terms, chance
         self.own = Rumour(name, life, 0, State.UP)
-        self.peers = {other: Peer(Rumour(other, NOBODY, 0, State.DOWN)) for other in others if other != name}
+        self.peers = {other: Peer(Rumour(other, NOBODY, 0, State.DOWN)) for other in sorted(others) if other != name}
         self.health = 0
         self.writes = 0
         self.facts = b""
         self.events: list[Event] = []
         self.replaced_by: Life | None = None  # a newer life of this member's own name
         self._turn: list[str] = []
+        self._periods = 0
+        self._suspected: set[str] = set()
         self._asked: dict[int, _Asked] = {}
         self._number = 0
         self._told: dict[str, int] = {name: 0}  # how often the latest rumour of each was told
@@ -132,7 +135,7 @@
         due = [self._next]
         for asked in self._asked.values():
             due.append(asked.sent + self._answer_within() * (1 if not asked.helped else 3))
-        due += [self._suspicion_ends(peer) for peer in self.peers.values() if peer.suspected_at is not None]
+        due += [self._suspicion_ends(self.peers[name]) for name in self._suspected]
         return min(due)
 
     def _answer_within(self) -> timedelta:
@@ -155,11 +158,12 @@
     def configure(self, names: Iterable[str]) -> None:
         """The members are these from now on."""
         wanted = set(names) - {self.name}
-        for gone in set(self.peers) - wanted:
+        for gone in sorted(set(self.peers) - wanted):
             del self.peers[gone]
+            self._suspected.discard(gone)
             self._told.pop(gone, None)
             self._asked = {n: asked for n, asked in self._asked.items() if asked.name != gone}
-        for new in wanted - set(self.peers):
+        for new in sorted(wanted - set(self.peers)):
             self.peers[new] = Peer(Rumour(new, NOBODY, 0, State.DOWN))
 
     # --- time
@@ -174,22 +178,28 @@
         for number, asked in list(self._asked.items()):
             if number in self._asked:
                 self._overdue(number, asked, now, sends)
-        for name, peer in self.peers.items():
-            if peer.suspected_at is not None and now >= self._suspicion_ends(peer):
+        for name in list(self._suspected):
+            peer = self.peers[name]
+            if now >= self._suspicion_ends(peer):
                 down = Rumour(name, peer.rumour.life, peer.rumour.word, State.DOWN, self.name)
                 self._take(down, now)
         if now >= self._next:
-            self._next = now + self.terms.period * (1 + self.health)
+            # Slower as well, but never so slow that it would take long to be well again.
+            self._next = now + self.terms.period * (1 + self.health / HEALTH_WORST)
             self._ask_next(now, sends)
+            self._periods += 1
+            if self._periods % self.terms.table_every == 0:
+                self._tell_all(sends)
         return sends
 
     def _was_held_up(self, now: timedelta, late: timedelta) -> None:
         """This member stood still: what it did not hear meanwhile says nothing of others."""
         self._asked.clear()
         self._worse()
-        for peer in self.peers.values():
-            if peer.suspected_at is not None:
-                peer.suspected_at += late
+        for name in self._suspected:
+            peer = self.peers[name]
+            assert peer.suspected_at is not None
+            peer.suspected_at += late
         self.events.append(Event("fleet_held_up", {"ms": round(late / MILLISECOND)}))
 
     def _worse(self) -> None:
@@ -211,6 +221,12 @@
                 self._ask(name, now, sends)
                 return
 
+    def _tell_all(self, sends: Sends) -> None:
+        """All that is known, to one other: a rumour whose every telling was lost gets through in the end."""
+        up = [name for name, peer in self.peers.items() if peer.rumour.state is not State.LEFT]
+        if up:
+            sends.append((self._chance.choice(up), self.table()))
+
     def _ask(self, name: str, now: timedelta, sends: Sends, for_whom: str = "", number: int = 0) -> None:
         if len(self._asked) >= OPEN_ASKS_MOST:
             return
@@ -235,8 +251,8 @@
                 self._ask_helpers(number, asked, sends)
         elif now >= asked.sent + 3 * span:
             del self._asked[number]
-            # Helpers that say nothing at all mean that it is this member that hears badly.
-            for _ in range(1 + max(0, asked.wanted_nacks - asked.nacks)):
+            self._worse()
+            if asked.nacks < asked.wanted_nacks:  # helpers that say nothing: it is this member that hears badly
                 self._worse()
             rumour = peer.rumour
             if rumour.state in (State.UP, State.SUSPECTED):
@@ -352,8 +368,10 @@
         self._told[rumour.name] = 0
         if rumour.state is State.SUSPECTED:
             peer.suspected_at, peer.sources = now, {rumour.source}
+            self._suspected.add(rumour.name)
         else:
             peer.suspected_at, peer.sources = None, set()
+            self._suspected.discard(rumour.name)
         if rumour.state is not before.state or rumour.life != before.life:
             self.events.append(
                 Event(
@@ -371,6 +389,8 @@
             return
         if rumour.life != own.life or own.state is State.LEFT:
             return
+        if rumour.state is not State.UP and rumour.word < own.word:
+            self._told[self.name] = 0  # the denial has not got there yet
         if rumour.state is not State.UP and rumour.word >= own.word:
             # SWIM's refutation: only the member itself raises its word.
             self.own = Rumour(self.name, own.life, rumour.word + 1, State.UP)
--- a/mallowquay/fleet/member.py
+++ b/mallowquay/fleet/member.py
@@ -23,6 +23,7 @@
     Event,
     Follow,
     Frame,
+    Key,
     Known,
     Lasting,
     Lead,
@@ -71,6 +72,7 @@
         self.relink = False  # the life changed: links are to be greeted anew
         self.stood_down: Life | None = None  # the newer life that took this member's name
         self.leaving = False
+        self._followed: tuple[Key, Key, int] | None = None  # by which views and file the names were taken
         self._memories: dict[str, tuple[Memory, Memory]] = {}  # of its life, and of the one before that
         self.facts = b""
         self._begin(before, now)
@@ -179,7 +181,7 @@
         self.detector.writes, self.detector.facts = self.lasting.writes, self.facts
         sends += self.detector.tick(now)
         self.views.wishes = self._open_wishes()
-        sends += self.views.tick(now, self._standings())
+        sends += self.views.tick(now, self._standings)
         self._gather_events()
         return sends
 
@@ -259,17 +261,17 @@
             self.detector.left(name, frame.life, now)
         self._note(name)
         newer = self.detector.replaced_by
-        if newer is not None and self.question.status is not Trust.ASKING:
+        if newer is not None and self.question.status is Trust.TRUSTED:
             self._stand_down(newer)
         elif newer is not None:
-            self.question.latest = max(self.question.latest, newer.number)
-            self.question.status = Trust.OLD
+            self.question.outdone(newer)
+        self._settle_trust(now)
         self._gather_events()
         return sends
 
     def _known(self, now: timedelta, name: str, frame: Known) -> None:
         later = (frame.life.number, frame.life.mark) > (self.life.number, self.life.mark)
-        if self.question.status is Trust.ASKING:
+        if self.question.status is not Trust.TRUSTED:
             self.question.heard(now, name, frame)
         elif later and frame.asked == self.life.mark:
             self._stand_down(frame.life)
@@ -280,6 +282,11 @@
         self.events.append(Event("fleet_stood_down", {"life": str(self.life), "newer": str(newer)}))
 
     def _follow_view(self) -> None:
+        lasting = self.lasting
+        keys = (lasting.accepted.key, lasting.agreed.key, len(self.members))
+        if keys == self._followed:
+            return
+        self._followed = keys
         names = self._names()
         if names != {self.name, *self.detector.peers}:
             self.detector.configure(names)
@@ -290,6 +297,7 @@
     def reload(self, members: Mapping[str, str]) -> None:
         """The file names these members now: who is new or missing is wished for, not yet so."""
         self.members = dict(members)
+        self._followed = None
         self._follow_view()
 
     def _open_wishes(self) -> tuple[Wish, ...]:
@@ -333,6 +341,7 @@
             raise ValueError("a majority is left: take them out of the file and reload")
         self.views.force(now, gone)
         self.members = {name: at for name, at in self.members.items() if name not in gone}
+        self._followed = None
         self._follow_view()
         self._gather_events()
 
--- a/mallowquay/fleet/trust.py
+++ b/mallowquay/fleet/trust.py
@@ -93,13 +93,17 @@
         later = known.life.number > self.life.number
         other = known.life.number == self.life.number and known.life.mark != self.life.mark
         if later or other:
-            self.latest = max(self.latest, known.life.number)
-            self.status = Trust.OLD
+            self.outdone(known.life)
         elif self._before is not None and known.life.number == self._before.life.number:
             if known.life.mark != self._before.life.mark or known.writes > self._before.writes:
                 self.status = Trust.OLD
         self._settle(now)
 
+    def outdone(self, life: Life) -> None:
+        """There is a later life of this name than the one on this disk."""
+        self.latest = max(self.latest, life.number)
+        self.status = Trust.OLD
+
     def _settle(self, now: timedelta) -> None:
         if self.status is not Trust.ASKING or now < self._least_until:
             return
--- a/mallowquay/fleet/views.py
+++ b/mallowquay/fleet/views.py
@@ -84,6 +84,7 @@
 
 
 Sends = list[tuple[str, Frame]]
+Standings = Callable[[], Mapping[str, Standing]]
 
 
 def majority(configured: Iterable[Configured], having: Callable[[Configured], bool]) -> bool:
@@ -113,6 +114,7 @@
         self.wishes: tuple[Wish, ...] = ()  # of this member's own file
         self.events: list[Event] = []
         self.lease_until = now  # by this member's own clock
+        self.lease_term = lasting.term  # of the leadership that the lease is of
         self._led_at = now  # a start counts as a leader's word: what was promised before it may still hold
         self._answers: dict[str, _Answer] = {}
         self._votes: dict[str, int] = {}  # to the disk of each that granted one
@@ -149,8 +151,8 @@
 
     # --- time
 
-    def tick(self, now: timedelta, standings: Mapping[str, Standing]) -> Sends:
-        """Do what is due; `standings`: what this member's detector thinks of each, itself included."""
+    def tick(self, now: timedelta, standings: Standings) -> Sends:
+        """Do what is due; `standings` tells what this member's detector thinks of each, itself included."""
         sends: Sends = []
         if self.role is Role.LEADER:
             self._lead(now, standings, sends)
@@ -181,11 +183,11 @@
 
     # --- elections
 
-    def _stand(self, now: timedelta, standings: Mapping[str, Standing], sends: Sends) -> None:
+    def _stand(self, now: timedelta, standings: Standings, sends: Sends) -> None:
         self._elect_at = self._patience_ends(now)
         self.role, self.leader = Role.FOLLOWER, ""
         if not self.founded:
-            self._found(now, standings, sends)
+            self._found(now, standings(), sends)
             return
         if not self.trusted or not self._counts_here():
             return
@@ -253,15 +255,15 @@
 
     # --- the leader
 
-    def _lead(self, now: timedelta, standings: Mapping[str, Standing], sends: Sends) -> None:
+    def _lead(self, now: timedelta, standings: Standings, sends: Sends) -> None:
         lasting = self.lasting
         if lasting.accepted.key == lasting.agreed.key:
-            self._look_for_changes(now, standings, sends)
+            self._look_for_changes(now, standings(), sends)
         ends = self._lease_ends(now)
         if now >= max(ends, self._led_at) + self.terms.patience:
             self._step_down(now, "no majority answers")
             return
-        self.lease_until = ends
+        self.lease_until, self.lease_term = ends, lasting.term
         if now >= self._beat_at:
             self._beat_at = now + self.terms.beat
             self._speak(now, sends)
@@ -415,11 +417,12 @@
         lasting = self.lasting
         # Whoever heard a leader lately has promised it not to elect another: leases rest on that.
         loyal = now < self._led_at + self.terms.patience or self.role is Role.LEADER
-        begun = bool(lasting.accepted.configured)
-        able = self.trusted and not loyal and begun and frame.accepted >= lasting.accepted.key
+        # An empty disk may vote: whoever stands counts it only where its own views name that very disk.
+        able = self.trusted and not loyal and frame.accepted >= lasting.accepted.key
         if frame.trial:
             granted = able and frame.term > lasting.term
-            sends.append((name, Vote(True, frame.term, granted, lasting.life.disk, lasting.writes)))
+            term = frame.term if granted else lasting.term
+            sends.append((name, Vote(True, term, granted, lasting.life.disk, lasting.writes)))
             return
         if loyal and frame.term > lasting.term:
             return
@@ -433,9 +436,13 @@
 
     def _voted(self, now: timedelta, name: str, frame: Vote, sends: Sends) -> None:
         if frame.trial:
-            if self.role is Role.TRIAL and frame.term == self.lasting.term + 1 and frame.granted:
+            if self.role is not Role.TRIAL:
+                return
+            if frame.granted and frame.term == self.lasting.term + 1:
                 self._votes[name] = frame.disk
                 self._count(now, sends)
+            elif not frame.granted:
+                self._newer_term(now, frame.term)
             return
         self._newer_term(now, frame.term)
         if self.role is Role.CANDIDATE and frame.term == self.lasting.term and frame.granted:
@@ -463,6 +470,7 @@
         if frame.lease > 0 and frame.echo > 0 and frame.agreed == lasting.agreed.key:
             # Counted from a moment of this member's own clock that lies before the word was sent.
             self.lease_until = max(self.lease_until, (frame.echo + frame.lease) * MICROSECOND)
+            self.lease_term = frame.term
         self._answer(now, name, frame, sends)
 
     def _answer(self, now: timedelta, name: str, frame: Lead, sends: Sends) -> None:
@@ -489,7 +497,7 @@
             self._beat_at = now + self.terms.beat
             self._speak(now, sends)
         if self.role is Role.LEADER:
-            self.lease_until = self._lease_ends(now)
+            self.lease_until, self.lease_term = self._lease_ends(now), self.lasting.term
 
     # --- by an operator
 
