--- /dev/null
+++ b/mallowquay/copies/__init__.py
@@ -0,0 +1,3 @@
+"""Copies: what a gatekeeper promised stands on further gatekeepers before it is promised. Off without
+`[copies]`.
+"""
--- a/mallowquay/emulator/fleet/world.py
+++ b/mallowquay/emulator/fleet/world.py
@@ -201,6 +201,8 @@
         first, second = one.member, other.member
         if first is None or second is None or first.stood_down or second.stood_down:
             return
+        if first.unsaved or second.unsaved:  # a life that is not on disk yet is told nobody
+            return
         if other.name not in first.addresses() or one.name not in second.addresses():
             return
         for greets, host, member in ((one, other, second), (other, one, first)):
--- a/mallowquay/fleet/links.py
+++ b/mallowquay/fleet/links.py
@@ -71,8 +71,8 @@
 class Owner(Protocol):
     """Whoever the links belong to."""
 
-    def greeting(self, to: str) -> Hello:
-        """The first word to a member."""
+    def greeting(self, to: str) -> Hello | None:
+        """The first word to a member; None: not now."""
 
     def greeted(self, hello: Hello) -> Welcome | Refused:
         """The answer to a greeting."""
@@ -249,6 +249,9 @@
             await asyncio.sleep(longest.total_seconds() * self._chance.random())
 
     async def _dial(self, name: str) -> bool:
+        hello = self._owner.greeting(name)
+        if hello is None:
+            return False
         try:
             stream = await open_stream(self._addresses[name], DIAL_WITHIN, 2 * FRAME_MOST)
         except (ConnectFailed, OSError, KeyError):
@@ -256,7 +259,7 @@
             return False
         hold_little(stream)
         try:
-            data = encode(self._owner.greeting(name))
+            data = encode(hello)
             stream.write(len(data).to_bytes(4, "big") + data)
             answer = await gen.with_timeout(GREETING_WITHIN, read_frame(stream))
         except (TornadoTimeout, StreamClosedError, Garbled, OSError, asyncio.IncompleteReadError):
--- a/mallowquay/fleet/member.py
+++ b/mallowquay/fleet/member.py
@@ -257,6 +257,12 @@
                 peer.writes = max(peer.writes, frame.writes)
             sends += self.views.heard(now, name, frame)
             self._follow_view()
+            standing = self.lasting.agreed.standing(self.name)
+            if standing is not None and standing.life == self.life and standing.state is State.DOWN:
+                if not self.leaving:
+                    self.events.append(Event("fleet_taken_for_lost", {"life": str(self.life)}))
+                    self.renew(now)
+                    return []
         elif isinstance(frame, Leave):
             self.detector.left(name, frame.life, now)
         self._note(name)
@@ -320,6 +326,14 @@
         kept = [wish for wish in self._wishes if wish.name not in named]
         self._wishes = tuple([*kept, *added, *removed][-WISHES_MOST:])
 
+    def renew(self, now: timedelta) -> None:
+        """Begin another life on the same disk: the present one was taken for lost, and others go on for
+        it.
+        """
+        self._begin(self.lasting, now)
+        self.relink = True
+        self._gather_events()
+
     def leave(self) -> Sends:
         """End in order: the others need not find out."""
         self.leaving = True
--- a/mallowquay/fleet/node.py
+++ b/mallowquay/fleet/node.py
@@ -115,14 +115,18 @@
 
     # --- what the links ask of their owner
 
-    def greeting(self, to: str) -> Hello:
-        """The first word to a member."""
+    def greeting(self, to: str) -> Hello | None:
+        """The first word to a member; None while this life is not on disk: nobody may know of it then."""
+        if self.member.unsaved:
+            return None
         return Hello(LOWEST_FORMAT, HIGHEST_FORMAT, self.name, to, self.member.life)
 
     def greeted(self, hello: Hello) -> Welcome | Refused:
         """The answer to a greeting."""
         if self.member.stood_down is not None:
             return Refused("stood down")
+        if self.member.unsaved:
+            return Refused("its disk takes nothing")
         agreed = common_format(hello)
         if agreed is None:
             return Refused(f"formats {LOWEST_FORMAT} to {HIGHEST_FORMAT} are spoken here")
--- a/mallowquay/fleet/views.py
+++ b/mallowquay/fleet/views.py
@@ -306,6 +306,8 @@
         known, before = standings.get(name), view.standing(name)
         if known is None:
             return before or Standing(name, NOBODY, State.DOWN)
+        if before is not None and before.state is State.DOWN and before.life == known.life:
+            return before  # for good: others may act for that life by now; the member begins another one
         # A suspicion is no change yet.
         return replace(known, state=State.UP) if known.state is State.SUSPECTED else known
 
--- a/mallowquay/settings/schema.py
+++ b/mallowquay/settings/schema.py
@@ -119,7 +119,7 @@
 class FleetMember(Table, frozen=True):
     """`[[fleet.members]]`: this member, too."""
 
-    name: Annotated[str, Meta(min_length=1, max_length=64)]
+    name: Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9_.-]+$")]
     address: Address
 
 
