--- a/mallowquay/emulator/fleet/invariants.py
+++ b/mallowquay/emulator/fleet/invariants.py
@@ -23,7 +23,7 @@
         self.agreed: dict[int, View] = {}  # by number
         self._newest: dict[str, tuple[int, int]] = {}  # what each process last knew as agreed
         self._lives: dict[str, set[tuple[int, int]]] = {}
-        self.downs = 0  # of members that ran and were reachable
+        self._leases: dict[int, timedelta] = {}  # the latest end of a lease of each term
         self.checks = 0
         world.watchers.append(self._step)
         world.on_event = self._event
@@ -43,13 +43,18 @@
             raise Broken(f"{host.name} went back from view {before[1]} to {view.number}")
         self._newest[host.name] = (life.mark, view.number)
         if member.holds(self._world.clock(host)) is not None:
-            self._one_majority()
+            self._one_majority(host)
 
-    def _one_majority(self) -> None:
-        holders = self._world.holders()
-        terms = {term for term, _ in holders.values()}
-        if len(terms) > 1:
-            raise Broken(f"two majorities at once: { ({n: (t, v.number) for n, (t, v) in holders.items()}) }")
+    def _one_majority(self, host: Host) -> None:
+        """Leases of two terms never overlap. Counted on: a lease is never shorter than it was told to be."""
+        member, world = host.member, self._world
+        assert member is not None
+        left = (member.views.lease_until - world.clock(host)) / host.rate
+        term = member.views.lease_term
+        for other, ends in self._leases.items():
+            if other != term and ends > world.now:
+                raise Broken(f"two majorities at once: {host.name} in term {term}, and term {other} until {ends}")
+        self._leases[term] = max(world.now + left, self._leases.get(term, world.now))
 
     def _event(self, host: Host, event: Event) -> None:
         if event.what != "fleet_life":
--- a/mallowquay/fleet/member.py
+++ b/mallowquay/fleet/member.py
@@ -197,7 +197,8 @@
         elif self.question.status is Trust.TRUSTED and not self.views.trusted:
             self.views.trusted = True
             self.events.append(Event("fleet_disk_trusted", {"life": str(self.life)}))
-        self.views.may_found = self.question.all_blank or len(self.members) == 1
+        if not self.views.founded:
+            self.views.may_found = self.question.all_blank or len(self.members) == 1
 
     def _standings(self) -> dict[str, Standing]:
         detector = self.detector
--- a/mallowquay/fleet/views.py
+++ b/mallowquay/fleet/views.py
@@ -123,6 +123,7 @@
         self._beat_at = now
         self._differs_since: timedelta | None = None
         self._held = False
+        self._up_in = (lasting.agreed, lasting.life, False)  # whether that view has this life as up
 
     # --- what others ask of it
 
@@ -138,11 +139,12 @@
         """
         if self.unsaved or now >= self.lease_until:
             return None
-        view = self.lasting.agreed
-        standing = view.standing(self.name)
-        if standing is None or standing.life != self.lasting.life or standing.state is not State.UP:
-            return None
-        return view
+        lasting = self.lasting
+        if self._up_in[0] is not lasting.agreed or self._up_in[1] != lasting.life:
+            standing = lasting.agreed.standing(self.name)
+            up = standing is not None and standing.life == lasting.life and standing.state is State.UP
+            self._up_in = (lasting.agreed, lasting.life, up)
+        return lasting.agreed if self._up_in[2] else None
 
     @property
     def next_due(self) -> timedelta:
