Run copies on real links, files and clock, with leases and calls as their kinds

[copies] in the operator's file: a caller's 200 waits for its copies, at most wait_ms; /copies on the second address; leases for tests. The core has one more state of a call, between its log server's answer and its caller's.

A dialler that ended for good when its connection closed at once was found by the rig's look into the logs.

--- /dev/null
+++ b/mallowquay/assembly/copies.py
@@ -0,0 +1,164 @@
+"""What this gatekeeper promises stands on others, too. Loaded only with `[copies]`."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import structlog
+
+from ..copies.machine import Adopted, CopyTerms
+from ..copies.node import CopiesNode
+from ..core.calls import Call
+from ..net.clock import monotonic
+from ..operation.control import Page
+from ..settings import Config, CopiesConfig, FleetConfig
+from .base import Assembly, Heart
+from .fleet import FleetAssembly
+
+log = structlog.get_logger(part=__name__)
+
+CALL, LEASE = "call", "lease"
+LEASE_WITHIN = timedelta(seconds=5)
+LEASES_SHOWN = 100_000
+LEASE_DRIFT = 1.2  # of the span of a lease that another member may still go by
+
+
+class CopiesAssembly(Assembly):
+    """Standing calls and granted leases are copied before they are promised."""
+
+    def __init__(self, heart: Heart, copies: CopiesConfig, fleet: FleetConfig, member: FleetAssembly) -> None:
+        self._heart, self._config, self._member = heart, copies, member
+        terms = CopyTerms(copies.copies, copies.write, copies.copied_per_s, fleet.lease * LEASE_DRIFT)
+        self.node = CopiesNode(
+            member.node, Path(fleet.disk) / "copies", terms, fleet.districts, monotonic, copies.scrub
+        )
+        self.unprotected = self.late = self.protected = 0
+        self._unprotected_now: set[str] = set()
+        self.adopted: list[Adopted] = []  # calls of lost machines that nobody here goes on with yet
+        self.leases: set[str] = set()
+        member.node.on_life.append(lambda life: self.leases.clear())  # those of the life before come anew
+        self.node.owners = {CALL: self._adopt_call, LEASE: lambda one: self.leases.add(one.key)}
+
+    async def start(self) -> None:
+        """Wait for the fleet's life: copies begin with it."""
+        self._heart.pages += [
+            Page("/copies", shown=self.node.told),
+            Page("/copies/leases", shown=lambda: {"leases": sorted(self.leases)[:LEASES_SHOWN]}),
+            Page("/copies/grant", act=self._grant),
+            Page("/copies/revoke", act=self._revoke),
+        ]
+        if self._config.promise:
+            self._heart.calls.promises = self
+
+    def reload(self, settings: Config) -> None:
+        """Members may have moved to other districts."""
+        if settings.fleet is not None:
+            self.node.districts = dict(settings.fleet.districts)
+
+    def end(self) -> None:
+        """Close the files."""
+        self.node.end()
+
+    def figures(self) -> Mapping[str, Any]:
+        """In short; `/copies` has the rest."""
+        told = self.node.told()
+        shown = ("put", "promised", "copies_of_all", "records", "fenced", "recovering")
+        return {
+            "copies": {
+                **{key: told.get(key) for key in shown},
+                "calls_protected": self.protected,
+                "calls_late": self.late,
+                "calls_unprotected": self.unprotected,
+                "calls_unprotected_now": len(self._unprotected_now),
+            }
+        }
+
+    # --- calls
+
+    def promise(self, call: Call, settled: Callable[[bool], None]) -> None:
+        """Copy a call that its log server has answered; past the wait the operator's choice holds."""
+        over = False
+
+        def late() -> None:
+            nonlocal over
+            if not over:
+                over = True
+                self.late += 1
+                if not self._config.refuse_late:
+                    self.unprotected += 1
+                    self._unprotected_now.add(call.request.id)
+                settled(not self._config.refuse_late)
+
+        def told(kept: bool) -> None:
+            nonlocal over
+            if kept:
+                self._unprotected_now.discard(call.request.id)
+            if not over and kept:
+                over = True
+                self.protected += 1
+                self._heart.loop.remove_timeout(timer)
+                settled(True)
+
+        timer = self._heart.loop.add_timeout(self._config.wait, late)
+        try:
+            self.node.hold(CALL, call.request.id, record_of(call), told)
+        except ValueError as fault:
+            log.warning("call_cannot_be_copied", call=call.request.id, fault=str(fault))
+
+    def forget(self, call: Call) -> None:
+        """The call is over."""
+        self._unprotected_now.discard(call.request.id)
+        copies = self.node.copies
+        if copies is not None and (CALL, call.request.id) in copies.records:
+            self.node.release(CALL, call.request.id)
+
+    def _adopt_call(self, one: Adopted) -> None:
+        self.adopted.append(one)
+
+    # --- leases: for tests, and the smallest example of a kind
+
+    async def _grant(self, names: list[str]) -> None:
+        await self._promised(lambda name, told: self.node.hold(LEASE, name, b"", told), names)
+        self.leases.update(names)
+
+    async def _revoke(self, names: list[str]) -> None:
+        unknown = [name for name in names if name not in self.leases]
+        if unknown:
+            raise ValueError(f"not granted here: {unknown[0]}")
+        if self._member.node.holds() is None:
+            raise ValueError("no majority is heard: another one may act for it")
+        self.leases.difference_update(names)
+        await self._promised(lambda name, told: self.node.release(LEASE, name, told), names)
+
+    async def _promised(self, ask: Callable[[str, Callable[[bool], None]], None], names: list[str]) -> None:
+        """Errors: ValueError, if a copy is not made in time; it may be all the same."""
+        loop = asyncio.get_running_loop()
+        waits: list[asyncio.Future[bool]] = []
+        for name in names:
+            wait: asyncio.Future[bool] = loop.create_future()
+            waits.append(wait)
+            ask(name, lambda kept, wait=wait: None if wait.done() else wait.set_result(kept))  # type: ignore[misc]
+        try:
+            async with asyncio.timeout(LEASE_WITHIN.total_seconds()):
+                kept = [await wait for wait in waits]
+        except TimeoutError:
+            raise ValueError("not copied in time") from None
+        if not all(kept):
+            raise ValueError("this life of the member has ended")
+
+
+def record_of(call: Call) -> bytes:
+    """What is needed to end a call: who and where on both sides, its class, and when it came."""
+    attempt, request = call.attempt, call.request
+    assert attempt is not None
+    told: dict[str, Any] = {"class": request.class_name, "number": request.number, "server": attempt.server}
+    for side, leg in (("caller", call.caller), ("log", attempt.leg)):
+        record = getattr(leg, "record", None)
+        if record is not None:
+            told[side] = record()
+    return msgspec.msgpack.encode(told)
--- a/mallowquay/copies/model.py
+++ b/mallowquay/copies/model.py
@@ -188,7 +188,9 @@
 
 
 class Yours(Struct, frozen=True, array_like=True, tag="yours"):
-    """The end of this log is sealed into that one: whoever has that one acts, or says that it is done with."""
+    """The end of this log is sealed into that one: whoever has that one acts, or says that it is done
+    with.
+    """
 
     log: LogId
     into: LogId
@@ -204,7 +206,19 @@
 
 
 Message = (
-    Append | Appended | Refusal | Piece | Fence | Fenced | Read | ReadPiece | SealIt | Sealed | Drop | Yours | Orphan
+    Append
+    | Appended
+    | Refusal
+    | Piece
+    | Fence
+    | Fenced
+    | Read
+    | ReadPiece
+    | SealIt
+    | Sealed
+    | Drop
+    | Yours
+    | Orphan
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/mallowquay/copies/store/files.py
+++ b/mallowquay/copies/store/files.py
@@ -1,13 +1,17 @@
 """The form of the files, and how they are read. Used by the serving program and offline alike.
 
-A file is a magic line, the mark of the disk, and records: 4 bytes of length, 8 of checksum, msgpack. The checksum is
-XXH3-64 over the record, seeded with the checksum before it (the mark of the disk for the first), so that a record that
+A file is a magic line, the mark of the disk, and records: 4 bytes of length, 8 of checksum, msgpack. The
+checksum is
+XXH3-64 over the record, seeded with the checksum before it (the mark of the disk for the first), so that
+a record that
 was changed, left out, doubled or moved is noticed. Numbers are big-endian.
 
-- `snapshot-N` holds all records as of the end of segment N; it is written under another name, synced and renamed.
+- `snapshot-N` holds all records as of the end of segment N; it is written under another name, synced and
+  renamed.
 - `segment-N` holds the operations that followed, the latest at its end.
 
-A segment that ends in a record that is not whole was cut off by a crash: nothing that rested on it has left. A record
+A segment that ends in a record that is not whole was cut off by a crash: nothing that rested on it has
+left. A record
 that is not right and has others behind it is a spoilt file.
 """
 
@@ -106,7 +110,8 @@
 def _right_behind(data: bytes, at: int) -> bool:
     """Whether, by its told length, a record that is not right has another one behind it that is.
 
-    The checksum of what stands at `at` may itself be what is wrong, so the one behind is tried with the checksum that
+    The checksum of what stands at `at` may itself be what is wrong, so the one behind is tried with the
+    checksum that
     is written there and with the one that its bytes have.
     """
     if at + HEAD.size > len(data):
@@ -119,7 +124,9 @@
 
 
 def _any_right(data: bytes, start: int) -> bool:
-    """Whether two records that follow on each other stand anywhere from here on: a search, for damaged lengths."""
+    """Whether two records that follow on each other stand anywhere from here on: a search, for damaged
+    lengths.
+    """
     limit = min(len(data), start + 4 * RECORD_MOST)
     for at in range(start, limit - HEAD.size):
         size, checksum = HEAD.unpack_from(data, at)
@@ -131,7 +138,9 @@
 
 
 def write_whole(path: Path, mark: int, ops: Iterable[Op]) -> tuple[int, int]:
-    """A file in place of what is there, all or nothing, synced; its size and last checksum. Errors: OSError."""
+    """A file in place of what is there, all or nothing, synced; its size and last checksum. Errors:
+    OSError.
+    """
     fresh = path.with_suffix(".new")
     checksum = mark
     size = 0
@@ -147,6 +156,17 @@
     return size, checksum
 
 
+def cut_off(path: Path, mark: int) -> None:
+    """Take away the record at the end of a file that was not written whole. Errors: OSError, Spoilt."""
+    found = read(path, mark)
+    if found.torn:
+        with open(path, "r+b") as file:
+            file.truncate(found.whole)
+            if not found.whole:
+                file.write(begun(mark))
+            os.fsync(file.fileno())
+
+
 def sync_folder(folder: Path) -> None:
     """Names that were made or changed are on the disk. Errors: OSError."""
     descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
--- a/mallowquay/copies/store/journal.py
+++ b/mallowquay/copies/store/journal.py
@@ -1,8 +1,11 @@
 """The journal of one member's copies: group commit in a thread, segments, snapshots, a scrubber.
 
-The event loop hands over one batch at a time and goes on; the thread writes and syncs it, however many records it has,
-and the loop is told. What fails is never tried again on the same file: a sync that failed may have dropped the pages
-and say yes the next time (Rebello et al., USENIX ATC 2020). Then all that is held is written into a new file, and only
+The event loop hands over one batch at a time and goes on; the thread writes and syncs it, however many
+records it has,
+and the loop is told. What fails is never tried again on the same file: a sync that failed may have
+dropped the pages
+and say yes the next time (Rebello et al., USENIX ATC 2020). Then all that is held is written into a new
+file, and only
 once that is synced does the journal go on.
 """
 
@@ -45,7 +48,8 @@
     def open(self, mark: int) -> list[Op]:
         """Read what is there, if it is of this disk; else begin anew. Errors: OSError.
 
-        Spoilt files are set aside under another name: what they held is with others, and counts for nothing here.
+        Spoilt files are set aside under another name: what they held is with others, and counts for
+        nothing here.
         """
         self.folder.mkdir(parents=True, exist_ok=True)
         self.mark = mark
@@ -61,6 +65,8 @@
                 log.error("copies_disk_spoilt", fault=str(fault), aside=str(aside))
         if loaded.torn:
             log.warning("copies_journal_was_cut_off", bytes=loaded.torn)
+            for _, path in files.numbered(self.folder, "segment"):
+                files.cut_off(path, mark)
         self._number = loaded.last
         self._rotate()
         return loaded.ops
@@ -80,7 +86,9 @@
             self._checksum = self.mark
 
     def write(self, ops: Iterable[Op]) -> Future[None]:
-        """Append and sync in the thread. The future's exception: OSError, after which only `rewrite` helps."""
+        """Append and sync in the thread. The future's exception: OSError, after which only `rewrite`
+        helps.
+        """
         return self._thread.submit(self._write, tuple(ops))
 
     def _write(self, ops: tuple[Op, ...]) -> None:
--- a/mallowquay/copies/writer.py
+++ b/mallowquay/copies/writer.py
@@ -308,9 +308,7 @@
                 self._progress[holder] = _Progress()
         return []
 
-    def _go_on_changing(
-        self, now: timedelta, disks: Mapping[str, int], lost: set[str]
-    ) -> list[Sent]:
+    def _go_on_changing(self, now: timedelta, disks: Mapping[str, int], lost: set[str]) -> list[Sent]:
         assert self.ensemble is not None and self.next is not None
         new = [holder for holder in self.next.holders if holder not in self.ensemble.holders]
         if self._next_at is None:
--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -43,6 +43,7 @@
 
     WAITING = "no attempt out"
     TRYING = "an attempt is out"
+    PROMISING = "its log server has answered; its copies are awaited"
     STANDING = "answered; it stands"
     OVER = "nothing is owed any more"
 
@@ -57,6 +58,16 @@
         """Tell the caller that a standing call is over."""
 
 
+class Promises(Protocol):
+    """Whoever sees to it that what a caller is told outlives this machine."""
+
+    def promise(self, call: Call, settled: Callable[[bool], None]) -> None:
+        """Copy the call; `settled` is told once, in bounded time: True if its caller may be answered."""
+
+    def forget(self, call: Call) -> None:
+        """The call is over."""
+
+
 class ServerSide(Protocol):
     """Carries attempts to log servers; it reports through Calls.stood and Calls.ended."""
 
@@ -106,6 +117,7 @@
         self._running = False
         self.opened: Callable[[str], None] = lambda request_id: None  # told of each call taken
         self.closed: Callable[[str], None] = lambda request_id: None  # and of each that is over
+        self.promises: Promises | None = None
         self.came_to_stand: Callable[[Call], None] = lambda call: None
         self.unanswered = 0
         self.last_offer = clock()
@@ -147,7 +159,8 @@
 
     def standing_at(self, server: str) -> list[Call]:
         """The calls that stand at this log server."""
-        return [call for call, _ in self._at_server(server, CallState.STANDING)]
+        at = (CallState.STANDING, CallState.PROMISING)
+        return [call for state in at for call, _ in self._at_server(server, state)]
 
     def trying_at(self, server: str) -> list[Attempt]:
         """The attempts that are out at this log server."""
@@ -192,6 +205,9 @@
         call = self._calls.get(request_id)
         if call is None or call.state in (CallState.STANDING, CallState.OVER):
             return False
+        if call.state is CallState.PROMISING:
+            self._take_back(call, FinalAnswer(verdict), Ending.CALLER_LEFT)
+            return True
         attempt = call.attempt
         self._finish(call, FinalAnswer(verdict))
         self._do(lambda: self._decisions.report(CallerLeft(request_id)))
@@ -223,16 +239,40 @@
         call = self._calls.get(attempt.request.id)
         if call is None or call.attempt is not attempt or call.state is not CallState.TRYING:
             return False
+        call.state = CallState.STANDING if self.promises is None else CallState.PROMISING
+        self._do(lambda: self._decisions.report(Stood(attempt)))
+        if load:
+            self.load_told(attempt.server, load)
+        if self.promises is None:
+            self._stands(call, description)
+        else:
+            self.promises.promise(call, lambda kept: self._promised(call, description, kept))
+        return True
+
+    def _stands(self, call: Call, description: str) -> None:
         call.state = CallState.STANDING
         self.unanswered -= 1
         call.stood_at = self._clock()
         self.figures.ended(call.request, Verdict.STANDS, call.stood_at)
-        self._do(lambda: self._decisions.report(Stood(attempt)))
-        if load:
-            self.load_told(attempt.server, load)
         call.caller.answer(call, FinalAnswer(Verdict.STANDS, description))
         self.came_to_stand(call)
-        return True
+
+    def _promised(self, call: Call, description: str, kept: bool) -> None:
+        """The copies of a call are there, or were not in time."""
+        if call.state is not CallState.PROMISING:
+            return  # it was given up, or its log server ended it meanwhile
+        if kept:
+            self._stands(call, description)
+        else:
+            self._take_back(call, FinalAnswer(Verdict.REFUSED, retry_after=self._gap), Ending.WITHDRAWN)
+
+    def _take_back(self, call: Call, answer: FinalAnswer, ending: Ending) -> None:
+        """A call that stands at its log server and not for its caller ends on both sides."""
+        attempt = call.attempt
+        assert attempt is not None
+        self._finish(call, answer)
+        self._side.release(attempt, RELEASED)
+        self._do(lambda: self._decisions.report(Ended(attempt, ending, closed=True)))
 
     def ended(self, attempt: Attempt, ending: Ending, load: Load | None = None) -> bool:
         """An attempt that is out failed, or the call that it set up is over; False if neither."""
@@ -244,6 +284,10 @@
             self._do(lambda: self._decisions.report(Ended(attempt, ending, True, load or {})))
             call.caller.release(call, ending)
             return True
+        if call.state is CallState.PROMISING:  # it ended before its caller knew of it
+            self._finish(call, FinalAnswer(Verdict.FAILED, retry_after=self._gap))
+            self._do(lambda: self._decisions.report(Ended(attempt, ending, True, load or {})))
+            return True
         call.attempt, call.state = None, CallState.WAITING
         call.lost_time = ending is Ending.TIMED_OUT
         if ending not in NO_RELEASE_WAIT:
@@ -285,6 +329,10 @@
             self.ended(attempt, Ending.TIMED_OUT)
 
     def _overdue(self, call: Call) -> None:
+        if call.state is CallState.PROMISING:
+            answer = FinalAnswer(Verdict.FAILED, retry_after=self._gap, timed_out=True)
+            self._take_back(call, answer, Ending.TIMED_OUT)
+            return
         if call.state not in (CallState.WAITING, CallState.TRYING):
             return
         log.warning("call_undecided", call=call.request.id, call_class=call.request.class_name)
@@ -381,9 +429,13 @@
 
     def _remove(self, call: Call) -> None:
         del self._calls[call.request.id]
+        if self.promises is not None:
+            self.promises.forget(call)
         self.closed(call.request.id)
 
 
+RELEASED = 16  # the cause of an ordinary end (ITU-T Q.850: normal call clearing)
+
 # Endings after which a call may go on at once: a whole answer, or proof that nothing ran.
 NO_RELEASE_WAIT = frozenset(
     {
--- a/mallowquay/emulator/fleet/copies.py
+++ b/mallowquay/emulator/fleet/copies.py
@@ -371,7 +371,9 @@
         self._lost: set[str] = set()  # disks, since all was copied again
 
     def _may_lose(self, name: str) -> bool:
-        """Disks that are lost before all is copied again: one fewer than hold each entry when it is promised."""
+        """Disks that are lost before all is copied again: one fewer than hold each entry when it is
+        promised.
+        """
         world = self._copies_world
         if not unrecovered(world) and all(whole(side) for side in world.sides.values()):
             self._lost.clear()
--- a/mallowquay/emulator/fleet/invariants.py
+++ b/mallowquay/emulator/fleet/invariants.py
@@ -53,7 +53,7 @@
         term = member.views.lease_term
         for other, ends in self._leases.items():
             if other != term and ends > world.now:
-                raise Broken(f"two majorities at once: {host.name} in term {term}, and term {other} until {ends}")
+                raise Broken(f"two majorities at once: {host.name} in term {term}, {other} until {ends}")
         self._leases[term] = max(world.now + left, self._leases.get(term, world.now))
 
     def _event(self, host: Host, event: Event) -> None:
--- a/mallowquay/fleet/links.py
+++ b/mallowquay/fleet/links.py
@@ -257,8 +257,8 @@
         except (ConnectFailed, OSError, KeyError):
             self.counts["dials_failed"] += 1
             return False
-        hold_little(stream)
         try:
+            hold_little(stream)
             data = encode(hello)
             stream.write(len(data).to_bytes(4, "big") + data)
             answer = await gen.with_timeout(GREETING_WITHIN, read_frame(stream))
@@ -286,8 +286,8 @@
         self.spawn(self._take(stream))
 
     async def _take(self, stream: IOStream) -> None:
-        hold_little(stream)
         try:
+            hold_little(stream)
             hello = await gen.with_timeout(GREETING_WITHIN, read_frame(stream))
         except (TornadoTimeout, StreamClosedError, Garbled, OSError):
             self._spoilt(stream, "not_greeted", "")
@@ -374,7 +374,12 @@
 
 
 def hold_little(stream: IOStream) -> None:
-    """Let the kernel hold little of what is to be sent: what waits there cannot be overtaken."""
+    """Let the kernel hold little of what is to be sent: what waits there cannot be overtaken.
+
+    Errors: StreamClosedError.
+    """
+    if stream.closed():
+        raise StreamClosedError()
     stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_HOLDS)
     stream.max_write_buffer_size = 2 * FRAME_MOST
 
--- a/mallowquay/fleet/model.py
+++ b/mallowquay/fleet/model.py
@@ -268,11 +268,17 @@
     wishes: tuple[Wish, ...] = ()
 
 
+class Carry(Struct, frozen=True, array_like=True, tag="carry"):
+    """A message of a subsystem."""
+
+    channel: str
+    data: bytes
+
+
 class Bulk(Struct, frozen=True, array_like=True, tag="bulk"):
-    """A piece of something long."""
+    """The same, where it may wait: a piece of something long."""
 
     channel: str
-    last: bool
     data: bytes
 
 
@@ -284,7 +290,7 @@
 
 Frame = (
     Hello | Welcome | Refused | Ask | Known | Ping | Ack | PingFor | Nack | Table | Candidate | Vote
-    | Lead | Follow | Bulk | Leave
+    | Lead | Follow | Carry | Bulk | Leave
 )  # fmt: skip
 
 _encoder = msgspec.msgpack.Encoder()
--- a/mallowquay/fleet/node.py
+++ b/mallowquay/fleet/node.py
@@ -14,7 +14,19 @@
 from .identity import Disk
 from .links import Links, common_format
 from .member import Member, MemberTerms, Sends
-from .model import HIGHEST_FORMAT, LOWEST_FORMAT, Frame, Hello, Life, Refused, View, Welcome, micros
+from .model import (
+    HIGHEST_FORMAT,
+    LOWEST_FORMAT,
+    Bulk,
+    Carry,
+    Frame,
+    Hello,
+    Life,
+    Refused,
+    View,
+    Welcome,
+    micros,
+)
 
 log = structlog.get_logger(part=__name__)
 
@@ -36,6 +48,10 @@
         self.links = Links(name, self, clock, chance)
         self.on_stood_down: Callable[[], None] = lambda: None
         self.facts: Callable[[], bytes] = bytes
+        self.on_life: list[Callable[[Life], None]] = []  # another life began, on this disk or a new one
+        self.on_step: list[Callable[[], None]] = []  # after each look at what is due
+        self._channels: dict[str, Callable[[str, bytes], None]] = {}
+        self._life: Life | None = None
         self._loop = IOLoop.current()
         self._timer: object | None = None
         self._disk_again: timedelta | None = None
@@ -73,6 +89,8 @@
         now = self._clock()
         self.member.facts = self.facts()
         self._carry(self.member.tick(now))
+        for look in self.on_step:
+            look()
         wait = min(max(self.member.next_due - self._clock(), timedelta(milliseconds=1)), LONGEST_STEP)
         self._timer = self._loop.add_timeout(wait, self._step)
 
@@ -91,6 +109,10 @@
         if member.relink:
             member.relink = False
             self.links.relink()
+        if member.life != self._life and not member.unsaved:
+            self._life = member.life
+            for begun in self.on_life:
+                begun(member.life)
         if set(member.addresses()) != set(self.links.dialled()):
             self._dial()
         if member.stood_down is not None and not self._told_down:
@@ -147,8 +169,30 @@
 
     def frame(self, name: str, frame: Frame) -> None:
         """A frame came."""
+        if isinstance(frame, Carry | Bulk):
+            take = self._channels.get(frame.channel)
+            if take is not None:
+                take(name, frame.data)
+            return
         self._carry(self.member.heard(self._clock(), name, frame))
 
+    # --- for subsystems
+
+    def channel(self, name: str, take: Callable[[str, bytes], None]) -> None:
+        """What comes on this channel goes there, with the name of who sent it."""
+        self._channels[name] = take
+
+    def carry(self, to: str, channel: str, data: bytes, bulk: bool = False) -> bool:
+        """Send on a channel; False where there is no link or no room. Nothing is sent of an unsaved life."""
+        if self.member.unsaved or self.member.stood_down is not None:
+            return False
+        return self.links.send(to, Bulk(channel, data) if bulk else Carry(channel, data))
+
+    def renew(self) -> None:
+        """Begin another life: the present one was taken for lost."""
+        self.member.renew(self._clock())
+        self._carry([])
+
     # --- for the program
 
     def holds(self) -> View | None:
--- a/mallowquay/fronts/sip/dialogs.py
+++ b/mallowquay/fronts/sip/dialogs.py
@@ -52,6 +52,18 @@
         ]
         return uri, headers
 
+    def record(self) -> dict[str, object]:
+        """All of it, for a copy: whoever has it can end the dialog."""
+        return {
+            "call_id": self.call_id,
+            "local": self.local,
+            "remote": self.remote,
+            "target": self.target,
+            "local_seq": self.local_seq,
+            "remote_seq": self.remote_seq,
+            "routes": self.routes,
+        }
+
     def next_hop(self) -> str:
         """The URI that says where a request is sent first."""
         return uri_of(self.routes[0]) if self.routes else self.target
--- a/mallowquay/fronts/sip/front.py
+++ b/mallowquay/fronts/sip/front.py
@@ -123,6 +123,11 @@
 
         self._again = self.front.layer.later(gap, fire)
 
+    def record(self) -> dict[str, object]:
+        """The caller's side of the call, for a copy."""
+        host, port = self.hop.address
+        return {**self.dialog.record(), "transport": self.hop.transport, "at": f"{host}:{port}"}
+
     def ack(self, hop: Hop) -> None:
         """The ACK of our 200, from either transport."""
         self.hop = hop
--- a/mallowquay/fronts/sip/servers.py
+++ b/mallowquay/fronts/sip/servers.py
@@ -139,6 +139,12 @@
         self.side.bye(dialog, hop, NORMAL_CLEARING)
         self.side.forget_later(self)
 
+    def record(self) -> dict[str, object]:
+        """The log server's side of the call that stands, for a copy."""
+        host, port = self.hop.address
+        dialog = {} if self.dialog is None else self.dialog.record()
+        return {**dialog, "transport": self.hop.transport, "at": f"{host}:{port}"}
+
     def over(self, cause: int | None) -> None:
         """The call that stands is over; `cause` is told to the log server unless it told us."""
         dialog, self.dialog = self.dialog, None
--- a/mallowquay/operation/control.py
+++ b/mallowquay/operation/control.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -18,7 +18,7 @@
 HEAD_MOST, BODY_MOST = 8 * 1024, 4 * 1024
 
 Figures = Callable[[], dict[str, Any]]
-Action = Callable[[list[str]], None]  # errors: ValueError, with the reason
+Action = Callable[[list[str]], Awaitable[None] | None]  # errors: ValueError, with the reason
 
 
 class ControlServer(BoundedServer):
@@ -77,13 +77,15 @@
         else:
             self.finish(self._shown())
 
-    def post(self) -> None:
+    async def post(self) -> None:
         """What an operator asks of it: `names`, one or more. 409 with the reason where it cannot be done."""
         if self._act is None:
             self.send_error(405)
             return
         try:
-            self._act(self.get_arguments("names"))
+            done = self._act(self.get_arguments("names"))
+            if done is not None:
+                await done
         except ValueError as fault:
             self.set_status(409)
             self.finish({"fault": str(fault)})
--- a/mallowquay/service.py
+++ b/mallowquay/service.py
@@ -53,7 +53,13 @@
         if settings.fleet is not None:
             from .assembly.fleet import FleetAssembly
 
-            chosen.append(FleetAssembly(heart, settings.fleet))
+            member = FleetAssembly(heart, settings.fleet)
+            if settings.copies is not None:
+                from .assembly.copies import CopiesAssembly
+
+                # Before the member: what begins with its life is to hear of it.
+                chosen.append(CopiesAssembly(heart, settings.copies, settings.fleet, member))
+            chosen.append(member)
         if settings.xds is not None or settings.control is not None or settings.traffic is not None:
             from .assembly.beside import ControlAssembly, ControlPlaneAssembly, RecordAssembly
 
--- a/mallowquay/settings/__init__.py
+++ b/mallowquay/settings/__init__.py
@@ -11,6 +11,7 @@
     ClassConfig,
     Config,
     ConsulConfig,
+    CopiesConfig,
     FleetConfig,
     PlatformConfig,
     SipConfig,
@@ -23,7 +24,8 @@
 
 __all__ = [
     "MICROSECOND", "MILLISECOND", "OTHER", "SOCKETS_KEPT", "ClassConfig", "Config", "ConfigError",
-    "ConsulConfig", "FleetConfig", "PlatformConfig", "SipConfig", "TrafficConfig", "XdsConfig",
+    "ConsulConfig", "CopiesConfig", "FleetConfig", "PlatformConfig", "SipConfig", "TrafficConfig",
+    "XdsConfig",
     "check_numbers", "check_reload", "common", "fixed_changes", "flatten", "load", "of_process",
     "platform_config", "taken",
 ]  # fmt: skip
--- a/mallowquay/settings/model.py
+++ b/mallowquay/settings/model.py
@@ -111,6 +111,20 @@
     beat: timedelta
     lease: timedelta
     patience: timedelta
+    districts: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class CopiesConfig:
+    """What is promised stands on further gatekeepers."""
+
+    copies: int
+    write: int
+    promise: bool  # a caller's 200 waits for its copies
+    wait: timedelta
+    refuse_late: bool
+    copied_per_s: int  # bytes
+    scrub: timedelta
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,4 +148,5 @@
     control: tuple[str, int] | None = None  # the second address
     traffic: TrafficConfig | None = None
     fleet: FleetConfig | None = None
+    copies: CopiesConfig | None = None
     keys: dict[str, str] = field(default_factory=dict)  # of the file, but for those of its lists, with kinds
--- a/mallowquay/settings/operator.py
+++ b/mallowquay/settings/operator.py
@@ -20,6 +20,7 @@
     SPAN_MOST,
     Config,
     ConsulConfig,
+    CopiesConfig,
     FleetConfig,
     SipConfig,
     TrafficConfig,
@@ -95,6 +96,7 @@
         control=control,
         traffic=traffic,
         fleet=None if file.fleet is None else _fleet(file.fleet),
+        copies=None if file.copies is None else _copies(file),
         keys=dict(keys_of(document)),
         servers=servers,
     )
@@ -128,6 +130,28 @@
         beat=table.beat_ms * MILLISECOND,
         lease=table.lease_ms * MILLISECOND,
         patience=table.patience_ms * MILLISECOND,
+        districts={member.name: member.district for member in table.members},
+    )
+
+
+def _copies(file: OperatorFile) -> CopiesConfig:
+    table = file.copies
+    assert table is not None
+    if file.fleet is None:
+        raise ConfigError("copies: there is no fleet to keep them")
+    if 2 * table.write <= table.copies or table.write > table.copies:
+        # Else a writer that was given up could have its entries promised by others still.
+        raise ConfigError(
+            f"copies.write must be more than half of copies.copies, and that at most, not {table.write}"
+        )
+    return CopiesConfig(
+        copies=table.copies,
+        write=table.write,
+        promise=table.promise == "copied",
+        wait=table.wait_ms * MILLISECOND,
+        refuse_late=table.late is schema.WhenLate.REFUSE,
+        copied_per_s=1000 * table.copied_kb_per_s,
+        scrub=1000 * table.scrub_s * MILLISECOND,
     )
 
 
--- a/mallowquay/settings/reload.py
+++ b/mallowquay/settings/reload.py
@@ -7,7 +7,17 @@
 from .model import Config
 from .values import ConfigError
 
-AT_START_ONLY = ("seed", "sockets", "consul", "xds", "control", "traffic", "end_margin", "guard_margin")
+AT_START_ONLY = (
+    "seed",
+    "sockets",
+    "consul",
+    "xds",
+    "control",
+    "traffic",
+    "copies",
+    "end_margin",
+    "guard_margin",
+)
 
 
 def check_reload(before: Config, after: Config) -> None:
@@ -25,7 +35,7 @@
     """What holds after a reload: what changes at a start only stays as it was."""
     fleet = before.fleet
     if fleet is not None and after.fleet is not None:
-        fleet = replace(fleet, members=after.fleet.members)
+        fleet = replace(fleet, members=after.fleet.members, districts=after.fleet.districts)
     return replace(after, fleet=fleet, **{name: getattr(before, name) for name in AT_START_ONLY})
 
 
@@ -39,7 +49,9 @@
         ("traffic", before.traffic, after.traffic),
     ]
     if before.fleet is not None and after.fleet is not None:
-        pairs.append(("fleet", replace(before.fleet, members={}), replace(after.fleet, members={})))
+        old, new = (replace(one, members={}, districts={}) for one in (before.fleet, after.fleet))
+        pairs.append(("fleet", old, new))
+        pairs.append(("copies", before.copies, after.copies))
     if before.platform is not None and after.platform is not None:
         pairs.append(("listen", before.platform.listen, after.platform.listen))
     if before.sip is not None and after.sip is not None:
--- a/mallowquay/settings/schema.py
+++ b/mallowquay/settings/schema.py
@@ -121,6 +121,7 @@
 
     name: Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9_.-]+$")]
     address: Address
+    district: str = ""
 
 
 class Fleet(Table, frozen=True):
@@ -137,6 +138,27 @@
     patience_ms: Annotated[int, Meta(ge=150, le=120_000)] = 1400  # before another is elected
 
 
+class WhenLate(Enum):
+    """What becomes of a caller whose call is not copied in time."""
+
+    REFUSE = "refuse"
+    ANSWER = "answer"
+
+
+class Copies(Table, frozen=True):
+    """`[copies]`: what this gatekeeper promised stands on others, too."""
+
+    copies: Annotated[int, Meta(ge=1, le=9)] = 3  # machines that keep each record, this one included
+    write: Annotated[int, Meta(ge=1, le=9)] = 2  # of them that have it on disk before it is promised
+    promise: Annotated[str, Meta(pattern="^(copied|off)$")] = (
+        "copied"  # a caller's 200 waits for that, or not
+    )
+    wait_ms: Annotated[int, Meta(ge=1, le=5000)] = 50  # for so long at most
+    late: WhenLate = WhenLate.REFUSE
+    copied_kb_per_s: Annotated[int, Meta(ge=10, le=1_000_000)] = 4000  # of copies that are made anew
+    scrub_s: Annotated[int, Meta(ge=1, le=1_000_000)] = 3600  # all files are read again so often
+
+
 class OperatorFile(Table, frozen=True):
     """The whole file."""
 
@@ -151,6 +173,7 @@
     control: Address | None = None
     traffic: Traffic | None = None
     fleet: Fleet | None = None
+    copies: Copies | None = None
 
 
 class SchemaFault(ValueError):
--- a/rigs/fleet/checkers.py
+++ b/rigs/fleet/checkers.py
@@ -205,6 +205,45 @@
     return found
 
 
+def promises_kept(events: list[Event]) -> Violations:
+    """What was granted is there at the end, with one machine; what was revoked is nowhere."""
+    granted: set[str] = set()
+    asked: set[str] = set()
+    revoked: set[str] = set()
+    last: dict[str, list[str]] = {}
+    shown = False
+    for event in events:
+        if event.what == "granted":
+            granted.add(event.fields["key"])
+        elif event.what == "revoking":
+            asked.add(event.fields["key"])
+        elif event.what == "revoke_refused":
+            asked.discard(event.fields["key"])
+        elif event.what == "revoked":
+            revoked.add(event.fields["key"])
+        elif event.what == "leases":
+            last[event.name], shown = event.fields["keys"], True
+    if not shown:
+        return []
+    held: dict[str, list[str]] = {}
+    for name, keys in last.items():
+        for key in keys:
+            held.setdefault(key, []).append(name)
+    lost = sorted(granted - asked - set(held))
+    back = sorted(revoked & set(held))
+    twice = sorted(key for key, names in held.items() if len(names) > 1)
+    found = []
+    for what, keys in (("lost", lost), ("came back", back), ("at two machines", twice)):
+        if keys:
+            found.append(f"{len(keys)} leases {what}, as {keys[:3]}")
+    return found
+
+
+def no_errors(events: list[Event]) -> Violations:
+    """No process logged an error that the rig had not caused by its disk."""
+    return [f"{event.name}: {event.fields['first']}" for event in events if event.what == "errors"]
+
+
 def nobody_crashed(events: list[Event]) -> Violations:
     """No process ended by itself."""
     return [f"{event.name} ended with {event.fields['code']}" for event in events if event.what == "crashed"]
@@ -220,6 +259,8 @@
         "disks_kept": disks_kept,
         "calls_kept": calls_kept,
         "nobody_crashed": nobody_crashed,
+        "promises_kept": promises_kept,
+        "no_errors": no_errors,
     }
     found = {name: check(events) for name, check in plain.items()}
     found["healed"] = not_healed
