--- a/mallowquay/copies/machine.py
+++ b/mallowquay/copies/machine.py
@@ -375,6 +375,7 @@
             "put": self.writer.seq,
             "promised": self.writer.promised,
             "copies_of_all": self.writer.protection(),
+            "behind": self.writer.behind(),
             "records": len(self.records),
             "held_for": {str(log): [held.last, len(held.live), held.bytes] for log, held in logs.items()},
             "recovering": {str(log): one.step.value for log, one in self.recoveries.items()},
--- a/mallowquay/copies/writer.py
+++ b/mallowquay/copies/writer.py
@@ -119,6 +119,10 @@
         """How many holders have all that was ever put."""
         return sum(progress.acked >= self.seq for progress in self._progress.values())
 
+    def behind(self) -> int:
+        """How many entries the holder that lags most has yet to acknowledge."""
+        return self.seq - min((progress.acked for progress in self._progress.values()), default=0)
+
     # --- sending
 
     def flush(self, now: timedelta) -> list[Sent]:
--- a/mallowquay/fleet/links.py
+++ b/mallowquay/fleet/links.py
@@ -65,6 +65,7 @@
 PIECE_MOST = 16 * 1024
 CHUNK_MOST = 16 * 1024
 KERNEL_HOLDS = 64 * 1024
+ENDINGS = (StreamClosedError, Garbled, TornadoTimeout)  # of a read that nobody waits for any more
 UNGREETED_MOST = 64  # connections that have not greeted yet
 
 
@@ -261,7 +262,7 @@
             hold_little(stream)
             data = encode(hello)
             stream.write(len(data).to_bytes(4, "big") + data)
-            answer = await gen.with_timeout(GREETING_WITHIN, read_frame(stream))
+            answer = await gen.with_timeout(GREETING_WITHIN, read_frame(stream), quiet_exceptions=ENDINGS)
         except (TornadoTimeout, StreamClosedError, Garbled, OSError, asyncio.IncompleteReadError):
             self._spoilt(stream, "greeting_not_answered", name)
             return False
@@ -288,7 +289,7 @@
     async def _take(self, stream: IOStream) -> None:
         try:
             hold_little(stream)
-            hello = await gen.with_timeout(GREETING_WITHIN, read_frame(stream))
+            hello = await gen.with_timeout(GREETING_WITHIN, read_frame(stream), quiet_exceptions=ENDINGS)
         except (TornadoTimeout, StreamClosedError, Garbled, OSError):
             self._spoilt(stream, "not_greeted", "")
             return
@@ -303,7 +304,7 @@
             done = stream.write(len(data).to_bytes(4, "big") + data)
             if isinstance(answer, Refused):
                 self.counts["refused"] += 1
-                await gen.with_timeout(GREETING_WITHIN, done)
+                await gen.with_timeout(GREETING_WITHIN, done, quiet_exceptions=ENDINGS)
                 stream.close()
                 return
         except (TornadoTimeout, StreamClosedError, StreamBufferFullError):
@@ -397,4 +398,4 @@
         return await stream.read_bytes(size)
 
     whole = asyncio.ensure_future(rest())
-    return decode(await gen.with_timeout(FRAME_WITHIN, whole, quiet_exceptions=StreamClosedError))
+    return decode(await gen.with_timeout(FRAME_WITHIN, whole, quiet_exceptions=ENDINGS))
--- a/rigs/fleet/__main__.py
+++ b/rigs/fleet/__main__.py
@@ -81,7 +81,8 @@
     names = [f"g{index + 1}" for index in range(members)]
     total, results = 0, []
     for number in range(seed, seed + seeds):
-        plan = schedule.read(Path(file)) if file else schedule.draw(number, names, rounds)
+        most = 1 if leases else None
+        plan = schedule.read(Path(file)) if file else schedule.draw(number, names, rounds, forget_most=most)
         if written:
             schedule.write(plan, Path(written))
         begun = time.monotonic()
--- a/rigs/fleet/rig.py
+++ b/rigs/fleet/rig.py
@@ -198,6 +198,7 @@
             await asyncio.sleep(0.05)
             if loop.time() - due > LATE:
                 self.history.add("lag", us=round((loop.time() - due) * 1e6))
+                self.traffic.late.append(loop.time())
 
     def all_well(self, members: list[str] | None = None) -> bool:
         """Whether all that run hold one view with all of them up, by their latest words."""
@@ -238,9 +239,17 @@
             await self.mend()
             if pause is None:
                 await self.settle()
+                await self._copied_again()
             else:
                 await asyncio.sleep(pause)
 
+    async def _copied_again(self) -> None:
+        """The next disk is lost only once what was on the last one is copied again."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + HEALS_WITHIN
+        while self.leases is not None and not await self._all_copied(behind=50) and loop.time() < end:
+            await asyncio.sleep(0.05)
+
     async def _step(self, step: Step) -> None:
         if step.frame:
             passed = asyncio.Event()
@@ -411,7 +420,7 @@
         await self._do_start(tuple(self.names))
         self.history.add("mended", running=list(self.names))
 
-    async def _all_copied(self) -> bool:
+    async def _all_copied(self, behind: int = 0) -> bool:
         """Whether every log of a life that is over was taken over, and every record is on all its
         machines.
         """
@@ -423,8 +432,9 @@
         return all(
             set(one["held_for"]) <= present
             and not one["recovering"]
-            and one["promised"] == one["put"]
-            and one["copies_of_all"] == len(one["ensemble"]) == min(3, len(self.names))
+            and not one["changing"]
+            and one["behind"] <= behind
+            and len(one["ensemble"]) == min(3, len(self.names))
             for one in told
             if "log" in one
         ) and all("log" in one for one in told)
--- a/rigs/fleet/traffic.py
+++ b/rigs/fleet/traffic.py
@@ -29,6 +29,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._drivers: list[asyncio.Task[None]] = []
         self.out: dict[str, list[list[float]]] = defaultdict(list)  # spans in which a machine was impaired
+        self.late: list[float] = []  # when the rig itself was late: its log servers answered late then, too
         self._paused = False
 
     async def open(self) -> None:
@@ -105,7 +106,10 @@
             # next.
             if not self._was_out(names[int(call, 16) // 1_000_000 - 1], self.report.calls[call].began):
                 broken[fault] += 1
-                missing.append(f"{call}: {fault}")
+                track = self.report.calls[call]
+                begun = track.began
+                seen = [(round(at - begun, 3), what) for at, what in track.log]
+                missing.append(f"{call}: {fault}: {track.notes} {seen} {sorted(track.finals)}")
         counts["missing"] = sum(":" not in text for text in missing)
         return {**counts, "double": double, **broken, "which": missing[:3]}
 
--- a/rigs/sip_peers.py
+++ b/rigs/sip_peers.py
@@ -195,6 +195,7 @@
     closed_at: float = -1.0
     began: float = 0.0  # the loop's clock
     over: float = 0.0  # when its first final answer came
+    log: list[tuple[float, str]] = field(default_factory=list)  # what log servers saw
     notes: list[str] = field(default_factory=list)  # what its caller did
     ended: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -247,6 +248,7 @@
             self.report.faults["unknown number"] += 1
             return
         now = asyncio.get_running_loop().time()
+        track.log.append((now, f"{method} {call_id[:6]} at {self.number}"))
         if method in ("CANCEL", "BYE"):  # given up, though the word may yet be lost
             self._out_no_more(track, call_id, now)
         if lost:
@@ -310,6 +312,7 @@
             return
         track.out.discard(call_id)
         copied = [(k, f"{v};tag=s{self.number}" if k == "to" else v) for k, v in heard.copied()]
+        track.log.append((asyncio.get_running_loop().time(), f"{status} {call_id[:6]} by {self.number}"))
         data = self.last[call_id] = encode(f"SIP/2.0 {status} No", [*copied, ("P-Load", self.load())])
         self._until_acked(call_id, path, data, T1, 8)
 
@@ -319,6 +322,7 @@
         heard = self.invites.pop(call_id)
         track.out.discard(call_id)
         self.in_use += 1
+        track.log.append((asyncio.get_running_loop().time(), f"200 {call_id[:6]} by {self.number}"))
         self.standing[call_id] = heard
         copied = [(k, f"{v};tag=s{self.number}" if k == "to" else v) for k, v in heard.copied()]
         contact = f"<sip:log@127.0.0.1:{self.port};transport={self.transport}>"
