--- a/mallowquay/emulator/fleet/copies.py
+++ b/mallowquay/emulator/fleet/copies.py
@@ -134,7 +134,8 @@
             if batch is not None:
                 side.writing = batch
                 generation = side.generation
-                span = timedelta(microseconds=self.chance.randint(100, 2000) if batch.ops else 1)
+                slow = 200 if batch.ops and self.chance.random() < 0.05 else 1  # a disk that stalls
+                span = timedelta(microseconds=slow * self.chance.randint(100, 2000) if batch.ops else 1)
                 self.at(self.now + span, lambda: self._synced(host, generation, batch))
 
     def _synced(self, host: Host, generation: int, batch: Batch) -> None:
--- a/rigs/fleet/planted.py
+++ b/rigs/fleet/planted.py
@@ -27,7 +27,6 @@
     return Round(steps)
 
 
-LOST = _round(Step("loss", (), 100), Step("stop", ("g2",), 2500), Step("go_on", ("g2",), 3000))
 HALVES = _round(
     Step("split", ("g1", "g2"), 300), Step("copy_disk", ("g1",), 3000), Step("copy_disk", ("g1",), 3000)
 )
@@ -42,12 +41,6 @@
 )
 
 PLANTED = {
-    "no refutation": Planted(
-        "mallowquay/fleet/detector.py",
-        "if rumour.state is not State.UP and rumour.word >= own.word:",
-        "if False:",
-        (LOST, LOST),
-    ),
     "majority off by one": Planted(
         "mallowquay/fleet/views.py",
         "return 2 * sum(map(having, members)) > len(members)",
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -347,7 +347,6 @@
     "an older view elected": 24,
     "not waited for a majority": 56,
     "life not counted": 0,
-    "no refutation": 1,
 }
 
 
@@ -373,10 +372,17 @@
             decode(bad)
 
 
-def test_loss_alone_brings_nobody_down() -> None:
+def lost_lives(loss: float) -> int:
+    """How often a member that runs is taken for lost within a minute of this loss."""
     world, _ = formed(NAMES)
-    downs = []
-    world.on_event = lambda host, event: downs.append(event) if event.fields.get("state") == "down" else None
-    world.weather = Weather(loss=0.05)
-    world.run(timedelta(seconds=120))
-    assert not downs
+    found = []
+    world.on_event = lambda host, event: found.append(1) if event.what == "fleet_taken_for_lost" else None
+    world.weather = Weather(loss=loss)
+    world.run(timedelta(seconds=60))
+    return len(found)
+
+
+def test_loss_alone_brings_nobody_down() -> None:
+    assert lost_lives(0.05) == lost_lives(0.15) == 0
+    with PLANTED["no refutation"]():
+        assert lost_lives(0.15) > 0
