--- a/rigs/fleet/rig.py
+++ b/rigs/fleet/rig.py
@@ -361,8 +361,10 @@
     async def _do_old_disk(self, names: tuple[str, ...]) -> None:
         """As `trust.py` says, whoever knows better must be there to say so: everything else is well."""
         name = names[0]
+        if not self._copies[name]:
+            return
         await self.mend()
-        if not self._copies[name] or not (not self.fleet or await self.settle()):
+        if self.fleet and not await self.settle():
             return
         self.history.add("fault", name, fault="old_disk_put")
         self.kill(name)
