--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -26,11 +26,13 @@
     encode,
 )
 from mallowquay.copies.placement import chosen, next_step
+from mallowquay.copies.recovery import Step
 from mallowquay.copies.store import files
 from mallowquay.copies.store.journal import Journal
-from mallowquay.emulator.fleet.copies import CopiesWorld, play
-from mallowquay.emulator.fleet.invariants import Broken
+from mallowquay.emulator.fleet.copies import KIND, CopiesWorld, play, unrecovered
+from mallowquay.emulator.fleet.invariants import Broken, Invariants, await_healing
 from mallowquay.emulator.fleet.schedule import draw
+from mallowquay.emulator.fleet.world import Host
 from mallowquay.fleet.model import Life
 
 NAMES = ["g1", "g2", "g3", "g4", "g5"]
@@ -321,3 +323,149 @@
     assert not journal.scrub().result()
     journal.close()
     assert files.load(tmp_path, MARK).ops == entries(9)
+
+
+# --- one step after the other
+
+
+def formed(names: list[str], seed: int = 3, terms: CopyTerms = CopyTerms()) -> CopiesWorld:
+    world = CopiesWorld(names, seed, terms)
+    invariants = Invariants(world)
+    for name in names:
+        world.start(name)
+    await_healing(world, invariants)
+    world.run(SECOND)
+    return world
+
+
+def put(world: CopiesWorld, name: str, count: int, first: int = 0) -> set[str]:
+    """Have records promised by a member; their keys."""
+    told: set[str] = set()
+    side, host = world.sides[name], world.hosts[name]
+    for number in range(first, first + count):
+        copies, key = side.copies, f"{name}.{number}"
+        assert copies is not None
+        side.waiting.append((copies.put(KIND, key, b"x"), lambda key=key: told.add(key)))  # type: ignore[misc]
+        copies.flush(world.clock(host))
+        world.carry_copies(host)
+    world.run(SECOND)
+    return told
+
+
+def acted_on(world: CopiesWorld) -> list[str]:
+    return sorted(
+        key
+        for side in world.sides.values()
+        if side.copies is not None
+        for kind, key in side.copies.records
+        if kind == KIND
+    )
+
+
+@pytest.mark.parametrize("disk", ["kept", "lost"])
+@pytest.mark.parametrize("step", [Step.FENCE, Step.READ, Step.STAGE, Step.SEAL, Step.OWN])
+def test_a_successor_dies_at_each_step_of_a_takeover(step: Step, disk: str) -> None:
+    """Five copies, so that the writer's disk and the successor's may both be lost."""
+    world = formed(NAMES, terms=CopyTerms(copies=5, write=3))
+    told = put(world, "g1", 40)
+    assert len(told) == 40
+    world.kill("g1")
+    world.hosts["g1"].disk = None
+    died = ""
+
+    def watch(host: Host) -> None:
+        nonlocal died
+        copies = world.sides[host.name].copies
+        if not died and copies is not None and any(one.step is step for one in copies.recoveries.values()):
+            died = host.name
+
+    tick = world.carry_copies
+
+    def carry(host: Host) -> None:
+        tick(host)
+        watch(host)
+
+    world.carry_copies = carry  # type: ignore[method-assign]
+    for _ in range(3000):
+        world.run(timedelta(milliseconds=5))
+        if died:
+            break
+    assert died, f"no successor was ever at {step}"
+    world.kill(died)
+    if disk == "lost":
+        world.hosts[died].disk = None
+    world.run(5 * SECOND)
+    world.start(died)
+    world.start("g1")
+    for _ in range(200):
+        world.run(SECOND / 5)
+        if acted_on(world) == sorted(told) and not unrecovered(world):
+            break
+    assert acted_on(world) == sorted(told), unrecovered(world)
+
+
+@pytest.mark.parametrize("kept", range(9))
+def test_a_writer_dies_after_each_part_of_what_it_sent(kept: int) -> None:
+    """Its machine is lost with the disk when so many of its messages have left: what it had told stands."""
+    world = formed(["g1", "g2", "g3"], seed=8)
+    told = put(world, "g1", 5)
+    side, host = world.sides["g1"], world.hosts["g1"]
+    copies = side.copies
+    assert copies is not None
+    late: set[str] = set()
+    side.waiting.append((copies.put(KIND, "late", b"x"), lambda: late.add("late")))
+    copies.flush(world.clock(host))
+    world.carry_copies(host)
+    world.run(timedelta(microseconds=700 * kept))
+    world.kill("g1")
+    host.disk = None
+    world.run(20 * SECOND)
+    assert set(acted_on(world)) >= told | late
+    world.start("g1")
+    world.run(20 * SECOND)
+    assert set(acted_on(world)) >= told | late and len(acted_on(world)) <= 6 and not unrecovered(world)
+
+
+def test_a_fleet_grows_from_one_to_three_to_five_and_shrinks_under_load() -> None:
+    world = CopiesWorld(NAMES, 5)
+    invariants = Invariants(world)
+    here = ["g1"]
+    at = dict(world.hosts["g1"].members)
+
+    def file(names: list[str]) -> None:
+        nonlocal here
+        before, after = {name: at[name] for name in here}, {name: at[name] for name in names}
+        for name in {*here, *names}:
+            host = world.hosts[name]
+            host.members = after
+            if host.member is None:
+                world.start(name)
+            elif name in after:
+                host.member.wish(before, after)
+                host.member.reload(after)
+        here = names
+
+    for host in world.hosts.values():
+        host.members = {"g1": at["g1"]}
+    world.start("g1")
+    world.run(5 * SECOND)
+    told = put(world, "g1", 20)
+    assert len(told) == 20, "one member promises by itself"
+    for step, names in enumerate(
+        (["g1", "g2", "g3"], NAMES, ["g1", "g2", "g3", "g4"], ["g1", "g2", "g3"]), 1
+    ):
+        file(names)
+        for part in range(10):
+            told |= put(world, "g1", 5, first=100 * step + 5 * part)
+        world.run(10 * SECOND)
+        writer = world.sides["g1"].copies.writer  # type: ignore[union-attr]
+        assert writer.ensemble is not None and len(writer.ensemble.holders) == 3 and writer.behind() == 0
+        assert set(writer.ensemble.names()) <= set(names)
+        for gone in set(NAMES) - set(names):
+            if world.hosts[gone].member is not None and step > 2:
+                world.kill(gone)
+    assert len(told) == 220 and invariants.checks
+    world.kill("g1")
+    world.hosts["g1"].disk = None
+    world.run(20 * SECOND)
+    assert set(acted_on(world)) == told
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,6 +5,7 @@
 import copy
 import tempfile
 import unittest
+from collections.abc import Callable
 from datetime import timedelta
 from math import inf, nan
 
@@ -155,6 +156,68 @@
         self.assertEqual(self.calls.unanswered, 0)
 
 
+class FakePromises:
+    """Copies that are there when the test says so."""
+
+    def __init__(self) -> None:
+        self.settled: list[Callable[[bool], None]] = []
+        self.forgotten: list[str] = []
+
+    def promise(self, call: Call, settled: Callable[[bool], None]) -> None:
+        self.settled.append(settled)
+
+    def forget(self, call: Call) -> None:
+        self.forgotten.append(call.request.id)
+
+
+class Promising(CoreCase):
+    """Between its log server's answer and its caller's a call waits for its copies."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.promises = self.calls.promises = FakePromises()
+        self.caller = self.offer()
+        self.attempt = self.side.started[0]
+        self.assertTrue(self.calls.stood(self.attempt, "text"))
+        self.assertEqual((self.caller.answers, self.calls.unanswered), ([], 1))
+
+    def one_answer(self, verdict: Verdict, released: bool) -> None:
+        for kept in (True, False):  # whatever the copies say after that
+            self.promises.settled[0](kept)
+        self.advance(10 * SECOND)
+        self.assertEqual([answer.verdict for answer in self.caller.answers], [verdict])
+        self.assertEqual(self.side.released, [(self.attempt, 16)] if released else [])
+        self.assertEqual((len(self.side.started), self.side.withdrawn, self.calls.unanswered), (1, [], 0))
+
+    def test_copied_it_stands_and_its_end_is_told(self) -> None:
+        self.promises.settled[0](True)
+        self.assertEqual(self.caller.answers, [FinalAnswer(Verdict.STANDS, "text")])
+        self.assertEqual(self.promises.forgotten, [])
+        self.calls.ended(self.attempt, Ending.CUT)
+        self.assertEqual((self.caller.releases, self.promises.forgotten), ([Ending.CUT], ["a"]))
+
+    def test_not_copied_in_time_it_is_refused_at_once_and_released_at_its_log_server(self) -> None:
+        self.promises.settled[0](False)
+        self.one_answer(Verdict.REFUSED, released=True)
+        self.assertTrue(self.caller.answers[0].retry_after)
+        self.assertEqual(self.promises.forgotten, ["a"])
+
+    def test_a_caller_that_leaves_meanwhile(self) -> None:
+        self.assertTrue(self.calls.caller_left("a"))
+        self.one_answer(Verdict.CANCELLED, released=True)
+
+    def test_a_log_server_that_ends_it_meanwhile(self) -> None:
+        self.assertTrue(self.calls.ended(self.attempt, Ending.CUT))
+        self.one_answer(Verdict.FAILED, released=False)
+
+    def test_a_log_server_that_is_gone_meanwhile(self) -> None:
+        self.assertEqual([call.request.id for call in self.calls.standing_at(self.attempt.server)], ["a"])
+
+    def test_copies_that_never_say_anything_do_not_cost_the_answer(self) -> None:
+        self.advance(3 * SECOND)
+        self.one_answer(Verdict.FAILED, released=True)
+
+
 class Machine(CoreCase):
     def test_one_answer_and_its_release(self) -> None:
         caller = self.offer()
