End a lost machine's calls in order on both sides, and never name calls by the file's seed

Seen: two attempts of one call out at once, three times in some 9,000 calls of the rig, always at a machine that had been started again. Checked: the log servers' own record of one (INVITE, an ACK for an answer that was never sent for it, then the next attempt); the rig's lateness and kills were ruled out by its spans. Cause: assembly/sip.py drew Call-IDs, tags and branches from the seed of the operator's file, so a process that was started again named its calls as the one before had, and a log server that still had those took the new ones for copies. Mended: names are drawn from the system's chance; a test starts the program twice with one file and fails without it.

Off without [takeover]; 'move' is not there yet and is turned down.

--- a/mallowquay/assembly/copies.py
+++ b/mallowquay/assembly/copies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from pathlib import Path
@@ -39,7 +40,7 @@
         )
         self.unprotected = self.late = self.protected = 0
         self._unprotected_now: set[str] = set()
-        self.adopted: list[Adopted] = []  # calls of lost machines that nobody here goes on with yet
+        self.adopted: list[Adopted] = []  # calls of lost machines, for whoever goes on with them
         self.leases: set[str] = set()
         member.node.on_life.append(lambda life: self.leases.clear())  # those of the life before come anew
         self.node.owners = {CALL: self._adopt_call, LEASE: lambda one: self.leases.add(one.key)}
@@ -78,6 +79,12 @@
             }
         }
 
+    @property
+    def may_act(self) -> bool:
+        """Whether this machine may act for what it holds: it hears a majority, and its life is not fenced."""
+        copies = self.node.copies
+        return copies is not None and not copies.fenced and self._member.node.holds() is not None
+
     # --- calls
 
     def promise(self, call: Call, settled: Callable[[bool], None]) -> None:
@@ -118,7 +125,8 @@
             self.node.release(CALL, call.request.id)
 
     def _adopt_call(self, one: Adopted) -> None:
-        self.adopted.append(one)
+        if self._heart.calls.get(one.key) is None:
+            self.adopted.append(one)  # else it stands here: this life goes on with it
 
     # --- leases: for tests, and the smallest example of a kind
 
@@ -156,7 +164,12 @@
     """What is needed to end a call: who and where on both sides, its class, and when it came."""
     attempt, request = call.attempt, call.request
     assert attempt is not None
-    told: dict[str, Any] = {"class": request.class_name, "number": request.number, "server": attempt.server}
+    told: dict[str, Any] = {
+        "class": request.class_name,
+        "number": request.number,
+        "server": attempt.server,
+        "began_ms": time.time_ns() // 1_000_000,
+    }
     for side, leg in (("caller", call.caller), ("log", attempt.leg)):
         record = getattr(leg, "record", None)
         if record is not None:
--- a/mallowquay/assembly/sip.py
+++ b/mallowquay/assembly/sip.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+import secrets
 from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
@@ -32,11 +33,15 @@
         """Take the list."""
         heart, sip, settings = self._heart, self._sip, self._heart.config
         chance = random.Random(settings.seed)
-        tag = partial(_tag, chance)
+        # Never by the file's seed: a process that is started again would name its calls as the one before
+        # did, and
+        # a log server that still has those would take them for copies (RFC 3261, 8.1.1.4: unique over
+        # space and time).
+        tag = partial(_tag, random.Random(secrets.randbits(128)))
         most = settings.sockets - SOCKETS_KEPT
         transport = self._transport = Transport(heart.loop, settings.connect_timeout, most)
         timers = Timers(sip.t1, sip.t2, sip.t4)
-        layer = Transactions(transport, timers, _later, tag, sip.transactions_most)
+        layer = self.layer = Transactions(transport, timers, _later, tag, sip.transactions_most)
         heart.unreadable = lambda: transport.garbage
         transport.take, transport.lost = layer.take, layer.connection_lost
         servers = SipServers(heart.calls, layer, monotonic, tag)
--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -149,6 +149,15 @@
         call.attempt = Attempt(request, 0, server, self._clock(), timedelta(0))
         self.opened(request.id)
 
+    def disown(self, request_id: str) -> bool:
+        """Another gatekeeper has a standing call now: nothing is told to either side from here."""
+        call = self._calls.get(request_id)
+        if call is None or call.state is not CallState.STANDING:
+            return False
+        attempt = self._over(call)
+        self._do(lambda: self._decisions.report(Ended(attempt, Ending.CUT, closed=True)))
+        return True
+
     def open_ids(self) -> list[str]:
         """The ids of all requests that are pending."""
         return list(self._calls)
--- a/mallowquay/fronts/sip/dialogs.py
+++ b/mallowquay/fronts/sip/dialogs.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 from .message import Header, Message
 from .transport import parameter, split_values
 
+RECORDED = ("call_id", "local", "remote", "target", "local_seq", "remote_seq", "routes")
+
 DialogId = tuple[str, str, str]  # Call-ID, local tag, remote tag
 
 
@@ -54,15 +58,12 @@
 
     def record(self) -> dict[str, object]:
         """All of it, for a copy: whoever has it can end the dialog."""
-        return {
-            "call_id": self.call_id,
-            "local": self.local,
-            "remote": self.remote,
-            "target": self.target,
-            "local_seq": self.local_seq,
-            "remote_seq": self.remote_seq,
-            "routes": self.routes,
-        }
+        return {name: getattr(self, name) for name in RECORDED}
+
+    @classmethod
+    def of_record(cls, record: Mapping[str, Any]) -> Dialog:
+        """What `record` told. Errors: KeyError, TypeError."""
+        return cls(**{name: record[name] for name in RECORDED})
 
     def next_hop(self) -> str:
         """The URI that says where a request is sent first."""
--- a/mallowquay/service.py
+++ b/mallowquay/service.py
@@ -46,10 +46,12 @@
         chosen: list[Assembly] = []
         if settings.platform is not None:
             chosen.append(PlatformAssembly(heart, settings.platform))
+        sip = None
         if settings.sip is not None:
             from .assembly.sip import SipAssembly
 
-            chosen.append(SipAssembly(heart, settings.sip))
+            sip = SipAssembly(heart, settings.sip)
+            chosen.append(sip)
         if settings.fleet is not None:
             from .assembly.fleet import FleetAssembly
 
@@ -58,7 +60,12 @@
                 from .assembly.copies import CopiesAssembly
 
                 # Before the member: what begins with its life is to hear of it.
-                chosen.append(CopiesAssembly(heart, settings.copies, settings.fleet, member))
+                copies = CopiesAssembly(heart, settings.copies, settings.fleet, member)
+                chosen.append(copies)
+                if settings.takeover is not None and sip is not None:
+                    from .assembly.takeover import TakeoverAssembly
+
+                    chosen.append(TakeoverAssembly(heart, settings.takeover, copies, sip))
             chosen.append(member)
         if settings.xds is not None or settings.control is not None or settings.traffic is not None:
             from .assembly.beside import ControlAssembly, ControlPlaneAssembly, RecordAssembly
--- a/mallowquay/settings/__init__.py
+++ b/mallowquay/settings/__init__.py
@@ -15,6 +15,7 @@
     FleetConfig,
     PlatformConfig,
     SipConfig,
+    TakeoverConfig,
     TrafficConfig,
     XdsConfig,
 )
@@ -24,7 +25,8 @@
 
 __all__ = [
     "MICROSECOND", "MILLISECOND", "OTHER", "SOCKETS_KEPT", "ClassConfig", "Config", "ConfigError",
-    "ConsulConfig", "CopiesConfig", "FleetConfig", "PlatformConfig", "SipConfig", "TrafficConfig",
+    "ConsulConfig", "CopiesConfig", "FleetConfig", "PlatformConfig", "SipConfig", "TakeoverConfig",
+    "TrafficConfig",
     "XdsConfig",
     "check_numbers", "check_reload", "common", "fixed_changes", "flatten", "load", "of_process",
     "platform_config", "taken",
--- a/mallowquay/settings/model.py
+++ b/mallowquay/settings/model.py
@@ -127,6 +127,14 @@
     scrub: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class TakeoverConfig:
+    """What becomes of the calls of a lost machine."""
+
+    hold: timedelta
+    within: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that the program is told."""
@@ -149,4 +157,5 @@
     traffic: TrafficConfig | None = None
     fleet: FleetConfig | None = None
     copies: CopiesConfig | None = None
+    takeover: TakeoverConfig | None = None
     keys: dict[str, str] = field(default_factory=dict)  # of the file, but for those of its lists, with kinds
--- a/mallowquay/settings/operator.py
+++ b/mallowquay/settings/operator.py
@@ -23,6 +23,7 @@
     CopiesConfig,
     FleetConfig,
     SipConfig,
+    TakeoverConfig,
     TrafficConfig,
     XdsConfig,
 )
@@ -97,6 +98,7 @@
         traffic=traffic,
         fleet=None if file.fleet is None else _fleet(file.fleet),
         copies=None if file.copies is None else _copies(file),
+        takeover=None if file.takeover is None else _takeover(file),
         keys=dict(keys_of(document)),
         servers=servers,
     )
@@ -155,6 +157,14 @@
     )
 
 
+def _takeover(file: OperatorFile) -> TakeoverConfig:
+    table = file.takeover
+    assert table is not None
+    if file.copies is None or file.copies.promise != "copied":
+        raise ConfigError('takeover: there are no copies of calls to take over (copies.promise = "copied")')
+    return TakeoverConfig(table.hold_ms * MILLISECOND, table.within_ms * MILLISECOND)
+
+
 def loopback(text: str, key: str) -> tuple[str, int]:
     """An address that no other machine reaches: links between members have neither sign-in nor TLS yet."""
     host, port = address(text, key)
--- a/mallowquay/settings/reload.py
+++ b/mallowquay/settings/reload.py
@@ -52,6 +52,7 @@
         old, new = (replace(one, members={}, districts={}) for one in (before.fleet, after.fleet))
         pairs.append(("fleet", old, new))
         pairs.append(("copies", before.copies, after.copies))
+        pairs.append(("takeover", before.takeover, after.takeover))
     if before.platform is not None and after.platform is not None:
         pairs.append(("listen", before.platform.listen, after.platform.listen))
     if before.sip is not None and after.sip is not None:
--- a/mallowquay/settings/schema.py
+++ b/mallowquay/settings/schema.py
@@ -159,6 +159,24 @@
     scrub_s: Annotated[int, Meta(ge=1, le=1_000_000)] = 3600  # all files are read again so often
 
 
+class Addresses(Enum):
+    """What becomes of a lost machine's addresses."""
+
+    STAY = "stay"
+
+
+class Takeover(Table, frozen=True):
+    """`[takeover]`: calls of a lost machine are ended in order on both sides."""
+
+    addresses: Addresses = Addresses.STAY
+    hold_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = (
+        1000  # from the adoption of a call until its end is sent
+    )
+    within_ms: Annotated[int, Meta(ge=100, le=3_600_000)] = (
+        30_000  # and all of them by then, whatever the pace
+    )
+
+
 class OperatorFile(Table, frozen=True):
     """The whole file."""
 
@@ -174,6 +192,7 @@
     traffic: Traffic | None = None
     fleet: Fleet | None = None
     copies: Copies | None = None
+    takeover: Takeover | None = None
 
 
 class SchemaFault(ValueError):
--- a/rigs/sip_peers.py
+++ b/rigs/sip_peers.py
@@ -457,6 +457,8 @@
         name = heard.get("call-id").removeprefix("call-")
         if not heard.status:
             if heard.first.startswith("BYE "):
+                if (ended := self.report.calls.get(name)) is not None:
+                    ended.notes.append(f"bye {asyncio.get_running_loop().time():.3f}")
                 path.write(encode("SIP/2.0 200 OK", heard.copied()))
             return
         if heard.method != "INVITE" or heard.status < 200:
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -137,6 +137,20 @@
 
 
 class SipCase(SipBase):
+    def test_a_process_that_is_started_again_names_its_calls_anew(self) -> None:
+        """Its file has a seed; a log server that still has the calls of before would take these for
+        copies.
+        """
+        named = []
+        for call in ("c1", "c2"):
+            tag, invite = self.stand(self.udp, call)
+            named.append((invite.get("call-id"), invite.tag("from"), tag))
+            self.program.stop()
+            self.program = Process(list(self.program.process.args[3:]), {})
+            self.addCleanup(self.program.stop)
+            connect(self.port).close()
+        self.assertFalse(set(named[0]) & set(named[1]), named)
+
     def test_a_call_from_invite_to_bye(self) -> None:
         self.request(self.udp, "INVITE", "c1", more=(("Record-Route", "<sip:127.0.0.1:9;lr>"),))
         self.assertTrue(self.udp.next().first.startswith("SIP/2.0 100"))
