--- a/mallowquay/takeover/plan.py
+++ b/mallowquay/takeover/plan.py
@@ -1,9 +1,10 @@
 """Which adopted calls are ended when. No I/O; time is an argument.
 
-Where a lost machine's addresses stay with it (`addresses = "stay"`) nobody can reach whoever adopted its
-calls: neither the caller's release nor the log server's comes any more. What is owed then is an end in order on both
-sides, after a stated hold, and never a call that hangs. Releases are work for a log server, so they are paced by
-what the module thinks of it; within a stated time all are sent all the same.
+Where a lost machine's addresses stay with it (`addresses = "stay"`) nobody can reach whoever adopted
+its calls: neither the caller's release nor the log server's comes any more. What is owed then is an end
+in order on both sides, after a stated hold, and never a call that hangs. Releases are work for a log
+server, so they are paced by what the module thinks of it; within a stated time all are sent all the
+same.
 """
 
 from __future__ import annotations
