--- a/benchmarks/fleet_endurance.py
+++ b/benchmarks/fleet_endurance.py
@@ -80,7 +80,7 @@
     kills = schedule.Round((schedule.Step("restart", (names[seed % members],), 2000),))
     shares = []
     for fleet in (False, True):
-        history = asyncio.run(play(seed, members, [kills], rate, ROOT, fleet, pause=seconds))
+        history = asyncio.run(play(seed, members, [kills], rate, ROOT, fleet, pause=seconds, well=True))
         calls = summary(history)["calls"]
         shares.append(calls["served"] / calls["taken"])
     return shares[0], shares[1]
--- a/rigs/fleet/__main__.py
+++ b/rigs/fleet/__main__.py
@@ -24,9 +24,11 @@
     seed: int, count: int, rounds: list[Round], rate: float, program: Path, fleet: bool = True,
     pause: float | None = None,
     leases: float = 0.0,
+    well: bool = False,
 ) -> History:  # fmt: skip
     """One run; its history."""
     async with Rig(seed, count, fleet, rate, program, leases=leases) as rig:
+        rig.traffic.weather.well = well
         await rig.begin(callers=rate > 0)
         await rig.play(rounds, pause)
         if leases and not await rig.finish_leases():
--- a/rigs/fleet/planted.py
+++ b/rigs/fleet/planted.py
@@ -30,6 +30,10 @@
 HALVES = _round(
     Step("split", ("g1", "g2"), 300), Step("copy_disk", ("g1",), 3000), Step("copy_disk", ("g1",), 3000)
 )
+FEW = _round(  # the lesser side has time to elect
+    Step("split", ("g4", "g5"), 300),
+    *(Step("copy_disk", ("g1",), 3000) for _ in range(3)),
+)
 RESTARTS = _round(Step("restart", ("g1", "g2"), 300))
 WIPES = (
     _round(Step("split", ("g1", "g2"), 200), Step("wipe", ("g3",), 2500), Step("heal_cuts", (), 2500)),
@@ -45,7 +49,7 @@
         "mallowquay/fleet/views.py",
         "return 2 * sum(map(having, members)) > len(members)",
         "return sum(map(having, members)) >= len(members) // 2",
-        (HALVES,),
+        (FEW, HALVES, FEW),
     ),
     "life not counted": Planted(
         "mallowquay/fleet/member.py",
--- a/rigs/fleet/rig.py
+++ b/rigs/fleet/rig.py
@@ -460,8 +460,15 @@
         """No more calls; what became of them goes into the history."""
         self.history.add("calls", **await self.traffic.finish())
         for name, machine in self.machines.items():
-            errors = [line for line in machine.log.read_text().splitlines() if '"level":"error"' in
-                      # fmt: skip
-                      line.replace(" ", "") and "_disk_" not in line and "not_as_written" not in line]
+            errors = [
+                line
+                for line in machine.log.read_text().splitlines()
+                if '"level":"error"'
+                in
+                # fmt: skip
+                line.replace(" ", "")
+                and "_disk_" not in line
+                and "not_as_written" not in line
+            ]
             if errors:
                 self.history.add("errors", name, count=len(errors), first=errors[0][:500])
--- a/rigs/fleet/traffic.py
+++ b/rigs/fleet/traffic.py
@@ -21,7 +21,7 @@
 
     def __init__(self, seed: int, ports: dict[str, int], rate: float) -> None:
         self.report, self._ports, self._rate = Report(), ports, rate
-        self._weather = Weather(seed, loss=0.0, reorder=0.0)
+        self.weather = Weather(seed, loss=0.0, reorder=0.0)
         self._seed = seed
         self.servers = [(quiet_port(), transport) for transport in SERVERS]
         self._callers: dict[str, StandInCallers] = {}
@@ -35,16 +35,14 @@
     async def open(self) -> None:
         """The log servers listen."""
         for number, (port, transport) in enumerate(self.servers):
-            server = StandInServer(self.report, self._weather, random.Random(self._seed + number), number)
+            server = StandInServer(self.report, self.weather, random.Random(self._seed + number), number)
             await server.listen(port, transport)
             self._stand_ins.append(server)
 
     async def begin(self) -> None:
         """Callers come to every machine."""
         for index, (name, port) in enumerate(self._ports.items()):
-            callers = StandInCallers(
-                self.report, self._weather, random.Random(self._seed + 100 + index), port
-            )
+            callers = StandInCallers(self.report, self.weather, random.Random(self._seed + 100 + index), port)
             await callers.open()
             self._callers[name] = callers
             self._drivers.append(asyncio.create_task(self._drive(index, callers)))
--- a/rigs/sip_peers.py
+++ b/rigs/sip_peers.py
@@ -170,6 +170,7 @@
 class Weather:
     """Loss and reordering on UDP, from one seed."""
 
+    well = False  # log servers answer every set-up
     unreleased = 0.0  # share of the calls that their log server never ends: they fill the program
 
     def __init__(self, seed: int, loss: float, reorder: float) -> None:
@@ -290,9 +291,12 @@
         self.invites[call_id] = heard
         path.write(encode("SIP/2.0 100 Trying", heard.copied()))
         draw, loop = self.chance.random(), asyncio.get_running_loop()
+        delay = 0.002 + self.chance.random() * 0.02
+        if self.weather.well:
+            loop.call_later(delay, self._answer, call_id, track, path)
+            return
         if draw < 0.0005:
             return  # silent until it is given up
-        delay = 0.002 + self.chance.random() * 0.02
         if draw < 0.03:
             status = self.chance.choice((503, 486, 500))
             loop.call_later(delay, self._final, call_id, track, path, status)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -99,7 +99,7 @@
     async def body() -> None:
         extra = "[copies]\nwait_ms = 1000\n[takeover]\nhold_ms = 300\n"
         async with Rig(3, 3, rate=20.0, extra=extra) as rig:
-            rig.traffic._weather.unreleased = 1.0
+            rig.traffic.weather.unreleased = 1.0
             await rig.begin(callers=False)
             assert await rig.until(rig.all_well)
             await rig.traffic.begin()
