Let the rig set wall clocks, and have faults come when a call stands or a disk is written to

A module that only the rig's processes load adds what a file says to every reading of the wall clock; the program has nothing of it.

--- a/rigs/fleet/machines.py
+++ b/rigs/fleet/machines.py
@@ -60,7 +60,8 @@
         """Start the program."""
         assert self.process is None
         self.starts += 1
-        environment = {**os.environ, "PYTHONPATH": str(self._program)}
+        paths = f"{self._program}{os.pathsep}{Path(__file__).parent / 'clockwork'}"
+        environment = {**os.environ, "PYTHONPATH": paths, "RIG_CLOCK": str(self.folder / "clock")}
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "mallowquay", "--log-format", "json", "serve", str(self.file)],
@@ -105,8 +106,19 @@
         """The exit code of a process that ended by itself."""
         return None if self.process is None else self.process.poll()
 
+    def set_clock(self, ahead_ms: int) -> None:
+        """The wall clock is so far ahead, or behind, from now on."""
+        (self.folder / "clock").write_text(str(ahead_ms))
+
     # --- the disk
 
+    def last_change(self) -> int:
+        """When a file of the disk was changed last, in nanoseconds: a write that is about to be synced."""
+        try:
+            return max((path.stat().st_mtime_ns for path in self.disk.rglob("*")), default=0)
+        except OSError:
+            return 0
+
     def wipe(self) -> None:
         """The disk is lost."""
         shutil.rmtree(self.disk, ignore_errors=True)
--- a/rigs/fleet/rig.py
+++ b/rigs/fleet/rig.py
@@ -210,14 +210,14 @@
             one["majority"] and sorted(one["up"]) == sorted(expected) for one in told if one
         )  # fmt: skip
 
-    async def until(self, what: Any, within: float = HEALS_WITHIN) -> bool:
+    async def until(self, what: Any, within: float = HEALS_WITHIN, every: float = 0.05) -> bool:
         """Wait for a condition."""
         loop = asyncio.get_running_loop()
         end = loop.time() + within
         while not what():
             if loop.time() > end:
                 return False
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(every)
         return True
 
     async def settle(self, within: float = HEALS_WITHIN) -> bool:
@@ -252,13 +252,7 @@
 
     async def _step(self, step: Step) -> None:
         if step.frame:
-            passed = asyncio.Event()
-            self.relays.passed = lambda origin, to, kind: passed.set() if kind == step.frame else None
-            try:
-                await asyncio.wait_for(passed.wait(), 2.0)
-            except TimeoutError:
-                pass
-            self.relays.passed = lambda origin, to, kind: None
+            await self._event(step.frame)
         else:
             await asyncio.sleep(step.wait_ms / 1000)
         self.history.add(
@@ -266,6 +260,24 @@
         )
         await getattr(self, f"_do_{step.fault}")(step.names)
 
+    async def _event(self, kind: str) -> None:
+        """Until something happens; two seconds at most, since it may not."""
+        passed = asyncio.Event()
+        if kind == "call stood":
+            served = self.traffic.report.statuses[200]
+            await self.until(lambda: self.traffic.report.statuses[200] > served, 2.0, 0.002)
+        elif kind == "disk written":
+            before = [machine.last_change() for machine in self.machines.values()]
+            machines = self.machines.values()
+            await self.until(lambda: [one.last_change() for one in machines] != before, 2.0, 0.005)
+        else:
+            self.relays.passed = lambda origin, to, frame: passed.set() if frame == kind else None
+            try:
+                await asyncio.wait_for(passed.wait(), 2.0)
+            except TimeoutError:
+                pass
+            self.relays.passed = lambda origin, to, frame: None
+
     def _ways(self, one: str, other: str) -> list[Any]:
         return [self.relays.ways[one, other], self.relays.ways[other, one]]
 
@@ -379,6 +391,12 @@
     async def _do_no_room(self, names: tuple[str, ...]) -> None:
         self.machines[names[0]].refuse_writes(True)
 
+    async def _do_clock(self, names: tuple[str, ...]) -> None:
+        """Ahead, behind, or a step back, by the number of faults so far."""
+        steps = (5_000, -5_000, 3_600_000, -3_600_000, 0)
+        count = sum(event.what == "fault" for event in self.history.events)
+        self.machines[names[0]].set_clock(steps[count % len(steps)])
+
     async def _do_twin(self, names: tuple[str, ...]) -> None:
         """A second process with the same name, on an empty disk and other ports."""
         name, old = names[0], self.machines[names[0]]
--- a/rigs/fleet/schedule.py
+++ b/rigs/fleet/schedule.py
@@ -11,14 +11,14 @@
 PAIRS = ("cut", "cut_one_way", "reset", "halt", "unread", "garble", "oversize")
 KINDS = (
     *PAIRS, "split", "chain", "loss", "delay", "narrow", "stop", "go_on", "kill", "start", "restart", "wipe",
-    "copy_disk", "old_disk", "flip_bit", "no_room", "twin", "heal_cuts",
+    "copy_disk", "old_disk", "flip_bit", "no_room", "twin", "heal_cuts", "clock",
 )  # fmt: skip
 FORGETS = ("wipe", "old_disk", "flip_bit", "twin")  # cost a member what it remembers
-FRAMES = ("ping", "ack", "lead", "follow", "cand", "vote", "table")
+FRAMES = ("ping", "ack", "lead", "follow", "cand", "vote", "table", "call stood", "disk written")
 
 
 class Step(msgspec.Struct, frozen=True):
-    """One fault: after a wait, or when the next frame of a kind passes."""
+    """One fault: after a wait, or when a frame of a kind passes, a call stands, a disk is written to."""
 
     fault: str
     names: tuple[str, ...] = ()
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -391,6 +391,19 @@
     asyncio.run(body())
 
 
+def test_the_rig_sets_the_wall_clock_of_its_processes_alone(tmp_path: Path) -> None:
+    (tmp_path / "clock").write_text("3600000")
+    code = "import time; print(time.time(), time.time_ns() / 1e9, time.monotonic())"
+    paths = str(ROOT / "rigs" / "fleet" / "clockwork")
+    told = []
+    for environment in ({}, {"PYTHONPATH": paths, "RIG_CLOCK": str(tmp_path / "clock")}):
+        done = subprocess.run([sys.executable, "-c", code], env=environment, capture_output=True, check=True)
+        told.append([float(word) for word in done.stdout.split()])
+    plain, ahead = told
+    assert all(3590 < late - here < 3660 for here, late in zip(plain[:2], ahead[:2], strict=True))
+    assert ahead[2] - plain[2] < 60
+
+
 # --- the checkers themselves
 
 
