--- a/benchmarks/loopback.py
+++ b/benchmarks/loopback.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[1]
-sys.path.insert(0, str(ROOT / "tests"))
+sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
 from support import SETTINGS, free_port, parse_head  # noqa: E402
 
 CONNECTIONS = 8
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[1]
-sys.path.insert(0, str(ROOT / "tests"))
+sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
 from support import SETTINGS, free_port  # noqa: E402
 
 ROUNDS = 7
--- a/mallowquay/assembly/fleet.py
+++ b/mallowquay/assembly/fleet.py
@@ -38,9 +38,7 @@
         )
         # Not the file's seed: two starts must never draw the same mark.
         chance = random.Random(secrets.randbits(128))
-        self.node = Node(
-            fleet.name, fleet.listen, fleet.members, Disk(fleet.disk), monotonic, chance, terms
-        )
+        self.node = Node(fleet.name, fleet.listen, fleet.members, Disk(fleet.disk), monotonic, chance, terms)
         self._facts = b""
 
     async def start(self) -> None:
--- a/mallowquay/emulator/fleet/invariants.py
+++ b/mallowquay/emulator/fleet/invariants.py
@@ -49,7 +49,7 @@
         holders = self._world.holders()
         terms = {term for term, _ in holders.values()}
         if len(terms) > 1:
-            raise Broken(f"two majorities at once: {({n: (t, v.number) for n, (t, v) in holders.items()})}")
+            raise Broken(f"two majorities at once: { ({n: (t, v.number) for n, (t, v) in holders.items()}) }")
 
     def _event(self, host: Host, event: Event) -> None:
         if event.what != "fleet_life":
--- a/mallowquay/emulator/fleet/schedule.py
+++ b/mallowquay/emulator/fleet/schedule.py
@@ -63,13 +63,21 @@
     chance = random.Random(seed)
     every = [fault for fault in Fault if fault not in (Fault.HEAL, Fault.CALM, Fault.GO_ON, Fault.START)]
     chosen = kinds or [fault for fault in every if chance.random() < 0.6] or [Fault.KILL]
-    ends = {Fault.LOSS: Fault.CALM, Fault.SLOW: Fault.CALM, Fault.STALLS: Fault.CALM, Fault.STOP: Fault.GO_ON, Fault.KILL: Fault.START}
+    ends = {
+        Fault.LOSS: Fault.CALM,
+        Fault.SLOW: Fault.CALM,
+        Fault.STALLS: Fault.CALM,
+        Fault.STOP: Fault.GO_ON,
+        Fault.KILL: Fault.START,
+    }
     found = []
     for _ in range(steps):
         fault = chance.choice(chosen)
         if chance.random() < 0.45:
             fault = ends.get(fault, Fault.HEAL)
-        names_of = tuple(chance.sample(names, 2 if fault in (Fault.CUT, Fault.CUT_ONE_WAY, Fault.RESET) else 1))
+        names_of = tuple(
+            chance.sample(names, 2 if fault in (Fault.CUT, Fault.CUT_ONE_WAY, Fault.RESET) else 1)
+        )
         if fault is Fault.SPLIT:
             names_of = tuple(chance.sample(names, chance.randint(1, len(names) - 1)))
         found.append(Step(round(chance.expovariate(1 / 700)), fault, names_of))
--- a/mallowquay/fleet/detector.py
+++ b/mallowquay/fleet/detector.py
@@ -83,7 +83,9 @@
     ) -> None:  # fmt: skip
         self.name, self.terms, self._chance = name, terms, chance
         self.own = Rumour(name, life, 0, State.UP)
-        self.peers = {other: Peer(Rumour(other, NOBODY, 0, State.DOWN)) for other in sorted(others) if other != name}
+        self.peers = {
+            other: Peer(Rumour(other, NOBODY, 0, State.DOWN)) for other in sorted(others) if other != name
+        }
         self.health = 0
         self.writes = 0
         self.facts = b""
@@ -252,7 +254,8 @@
         elif now >= asked.sent + 3 * span:
             del self._asked[number]
             self._worse()
-            if asked.nacks < asked.wanted_nacks:  # helpers that say nothing: it is this member that hears badly
+            # helpers that say nothing: it is this member that hears badly
+            if asked.nacks < asked.wanted_nacks:
                 self._worse()
             rumour = peer.rumour
             if rumour.state in (State.UP, State.SUSPECTED):
@@ -409,4 +412,3 @@
         peer = self.peers.get(name)
         if peer is not None and peer.rumour.life == life:
             self._take(Rumour(name, life, peer.rumour.word, State.LEFT, name), now)
-
--- a/mallowquay/fleet/member.py
+++ b/mallowquay/fleet/member.py
@@ -355,6 +355,7 @@
             "name": self.name,
             "life": str(self.life),
             "number": self.life.number,
+            "disk_mark": f"{self.life.disk:016x}",
             "stood_down": None if self.stood_down is None else str(self.stood_down),
             "trust": self.question.status.value,
             "role": self.views.role.value,
@@ -365,8 +366,10 @@
             "forced": lasting.forced,
             "majority": self.holds(now) is not None,
             "lease_ms": round(left / MILLISECOND),
+            "lease_term": self.views.lease_term,
             "configured": [member.name for member in view.configured],
             "up": [one.name for one in view.members if one.state is State.UP],
+            "lives": {one.name: str(one.life) for one in view.members},
             "health": detector.health,
             "members": [self._told_of(name, now) for name in sorted({self.name, *detector.peers})],
         }
--- a/mallowquay/fleet/node.py
+++ b/mallowquay/fleet/node.py
@@ -45,9 +45,7 @@
     def start(self) -> None:
         """Read the disk, begin a life on it, listen and dial. Errors: OSError."""
         before = self._disk.open()
-        self.member = Member(
-            self.name, self._texts(), before, self._terms, self._chance, self._clock()
-        )
+        self.member = Member(self.name, self._texts(), before, self._terms, self._chance, self._clock())
         self._disk.write(self.member.lasting)  # a life that cannot be counted does not begin
         self.member.saved()
         self.links.listen(self._listen)
--- a/mallowquay/fleet/views.py
+++ b/mallowquay/fleet/views.py
@@ -522,4 +522,3 @@
         self.role, self.leader = Role.FOLLOWER, ""
         self._elect_at = now
         self._tell_view()
-
--- a/mallowquay/settings/operator.py
+++ b/mallowquay/settings/operator.py
@@ -84,8 +84,10 @@
         consul=None if file.consul is None else _consul(file.consul),
         xds=None if file.xds is None else _xds(file.xds),
     )
-    traffic = None if file.traffic is None else TrafficConfig(
-        file.traffic.file, file.traffic.interval_ms * MILLISECOND
+    traffic = (
+        None
+        if file.traffic is None
+        else TrafficConfig(file.traffic.file, file.traffic.interval_ms * MILLISECOND)
     )
     control = None if file.control is None else address(file.control, "control")
     return replace(
@@ -272,6 +274,4 @@
     where = address(entry.address, f"servers.{index}.address")
     number = index if entry.number is None else entry.number
     status = ServerStatus(entry.state.value)
-    return Server(
-        entry.id, where, number, status, transport=entry.transport.value, district=entry.district
-    )
+    return Server(entry.id, where, number, status, transport=entry.transport.value, district=entry.district)
--- /dev/null
+++ b/rigs/process.py
@@ -0,0 +1,96 @@
+"""The real program as a process, for tests and rigs. Whoever starts one ends it by its id."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[1]
+WAIT = 5.0  # seconds that any one thing may take; never a pause
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """A port that nothing uses now."""
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def quiet_port() -> int:
+    """A port for both transports below those that the system gives to outgoing connections.
+
+    Many processes that start at once, each with connections of its own, would lose one from `free_port`
+    again.
+    """
+    while True:
+        port = random.SystemRandom().randrange(15_000, 32_000)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as sock:
+                    sock.bind(("127.0.0.1", port))
+            return port
+        except OSError:
+            continue
+
+
+class Process:
+    """The real program, started as the platform starts it."""
+
+    def __init__(
+        self,
+        arguments: list[str],
+        environment: dict[str, str],
+        descriptors: tuple[int, ...] = (),
+        file: str | None = None,  # what starts it, in place of the package itself
+    ) -> None:
+        self.log = tempfile.TemporaryFile()
+        self.process = subprocess.Popen(
+            [sys.executable, *([file] if file else ["-m", "mallowquay"]), *arguments],
+            cwd=ROOT, env={**os.environ, **environment}, stderr=self.log, stdout=self.log,
+            pass_fds=descriptors,
+        )  # fmt: skip
+
+    def hang_up(self) -> None:
+        self.process.send_signal(signal.SIGHUP)
+
+    def wait_for(self, word: str) -> None:
+        """Until the log holds a word."""
+        end = time.monotonic() + WAIT
+        while word not in self.text():
+            if time.monotonic() > end or self.process.poll() is not None:
+                raise AssertionError(f"{word!r} is not in the log: {self.text()}")
+            time.sleep(0.005)
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    def stop(self) -> int:
+        if self.process.poll() is None:
+            self.process.kill()
+        code = self.process.wait(WAIT)
+        self.log.close()
+        return code
+
+    def text(self) -> str:
+        self.log.seek(0)
+        return self.log.read().decode()
+
+
+def connect(port: int) -> socket.socket:
+    """A connection to the program, as soon as it listens."""
+    end = time.monotonic() + WAIT
+    while True:
+        try:
+            sock = socket.create_connection(("127.0.0.1", port), timeout=WAIT)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            return sock
+        except ConnectionRefusedError:
+            if time.monotonic() > end:
+                raise
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -14,7 +14,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from sip_peers import encode, operators_file, sip_port
+from rigs.sip_peers import encode, operators_file, sip_port
 from support import WAIT, Process, connect, free_port
 from test_sip import Peer, udp
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -12,7 +12,7 @@
 import unittest
 from typing import Any
 
-from sip_peers import operators_file, sip_port
+from rigs.sip_peers import operators_file, sip_port
 from support import CLASS, SETTINGS, WAIT, Caller, Process, connect, free_port, receive
 from test_platform import PlatformCase
 
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from sip_peers import T1, Heard, decode, encode, operators_file, run, sip_port
+from rigs.sip_peers import T1, Heard, decode, encode, operators_file, run, sip_port
 from support import WAIT, Process, connect, receive
 
 from mallowquay.core.model import Ending
