Carry out the module's tests of silent log servers where a deployment allows them

Cause, found by reading on the second deployment's terms: where the settings say mayProbe the module takes a log server that refuses connections, or loses two set-ups in a row, as silent and sends it no call until a probe is answered (logic.py, _lost and _probe_silent). The network code dropped that decision: Decisions._decision had no case for Probe. Such a log server would have had no call again before the list told a new start. The first deployment allows none, so it never met this.

Change: the decision reaches the server side (Examine, Examined), which sends the protocol's test ('hb', cause 1), one at a time for each log server, and tells whether it was passed within the time of a connection. Nothing else asks, and where mayProbe is false nothing is sent, as before. The second front and the emulator have no such word and say so at once.

--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -23,6 +23,8 @@
     Dispatch,
     Ended,
     Ending,
+    Examine,
+    Examined,
     FinalAnswer,
     ListTold,
     Load,
@@ -80,6 +82,9 @@
     def release(self, attempt: Attempt, cause: int) -> None:
         """Release the call that stands by this attempt."""
 
+    def examine(self, server: str) -> None:
+        """Ask for a sign of life; Calls.examined hears of it, in bounded time."""
+
 
 class Call:
     """One call from its set-up to its end."""
@@ -309,6 +314,10 @@
         self.figures.load_told(server, load)
         self._do(lambda: self._decisions.report(LoadTold(server, load)))
 
+    def examined(self, server: str, alive: bool, load: Load | None = None) -> None:
+        """How a log server answered that was asked for a sign of life."""
+        self._do(lambda: self._decisions.report(Examined(server, alive, load or {})))
+
     def list_told(self, told: ListTold) -> None:
         """The server list, or changes to it."""
         self._do(lambda: self._decisions.report(told))
@@ -376,6 +385,9 @@
         self.wake()
 
     def _carry_out(self, decision: Decision) -> None:
+        if isinstance(decision, Examine):
+            self._side.examine(decision.server)
+            return
         call = self._calls.get(decision.request_id)
         if call is None:
             return
--- a/mallowquay/core/decisions.py
+++ b/mallowquay/core/decisions.py
@@ -25,6 +25,7 @@
     Log,
     NewSettings,
     Outcome,
+    Probe,
     Refuse,
     Send,
     ServerEntry,
@@ -44,6 +45,8 @@
     Dispatch,
     Ended,
     Ending,
+    Examine,
+    Examined,
     Level,
     ListTold,
     Load,
@@ -203,6 +206,8 @@
             return ServerList(kind, tuple(self._entry(server) for server in news.servers))
         if isinstance(news, LoadTold):
             return ServerReport(news.server, True, False, self._figures(news.load))
+        if isinstance(news, Examined):
+            return ServerReport(news.server, news.alive, True, self._figures(news.load))
         if isinstance(news, CallerLeft):
             number = self._numbers.get(news.request_id)
             return None if number is None else CallerGone(number)
@@ -266,6 +271,8 @@
                 return Decline(self._names[call], retry_after * MICROSECOND, failed=True)
             case CancelAttempt(call, attempt):
                 return Withdraw(self._names[call], attempt)
+            case Probe(server):
+                return Examine(server)
             case Log(text):
                 log.info("module_says", text=text)
         return None
--- a/mallowquay/core/model.py
+++ b/mallowquay/core/model.py
@@ -157,7 +157,14 @@
     index: int
 
 
-Decision = Dispatch | Decline | Withdraw
+@dataclass(frozen=True, slots=True)
+class Examine:
+    """Ask a log server for a sign of life. Decided only where the settings allow probes."""
+
+    server: str
+
+
+Decision = Dispatch | Decline | Withdraw | Examine
 
 
 # --- what the facade is told ---------------------------------------------------------------------
@@ -205,4 +212,13 @@
     whole: bool
 
 
-News = Stood | Ended | CallerLeft | LoadTold | ListTold
+@dataclass(frozen=True, slots=True)
+class Examined:
+    """How a log server answered when it was asked for a sign of life."""
+
+    server: str
+    alive: bool
+    load: Load
+
+
+News = Stood | Ended | CallerLeft | LoadTold | ListTold | Examined
--- a/mallowquay/emulator/gatekeeper.py
+++ b/mallowquay/emulator/gatekeeper.py
@@ -93,6 +93,10 @@
         """See core.calls.ServerSide."""
         self._leave(attempt)
 
+    def examine(self, server: str) -> None:
+        """See core.calls.ServerSide; no scenario allows it."""
+        self.calls.examined(server, alive=False)
+
     def _leave(self, attempt: Attempt) -> None:
         leg = attempt.leg
         if isinstance(leg, Leg):
--- a/mallowquay/fronts/platform/servers.py
+++ b/mallowquay/fronts/platform/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import secrets
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -42,6 +43,9 @@
 LINE_WITHIN = timedelta(milliseconds=200)
 RESTED = timedelta(milliseconds=100)  # one that broke sooner after it came up is opened anew after this pause
 
+WITH_REPORT = 1  # the cause of a test that is answered with a report of the load
+PASSED = 1  # the cause of the answer to a test that was passed
+
 # Causes of a release before the answer, and after it; any other is a fault or a cut.
 BEFORE_ANSWER = {
     17: Ending.FAULT,
@@ -92,6 +96,7 @@
         self.line_since: timedelta | None = None  # since when a line has begun and is not whole
         self.rhythm = Rhythm()  # of free lines: a connection that misses them is of no further use
         self.looks_mute = False
+        self._asked = ""  # the id of the test that is out: one at a time
 
     def connect(self) -> None:
         """Open the connection unless it is open or coming."""
@@ -126,6 +131,24 @@
             del self.open[attempt.request.id]
             self.write({"t": "down", "ref": attempt.request.id, "f": {}, "c": 16})
 
+    def examine(self) -> None:
+        """Test the log server; the answer, or that none came in time, is told."""
+        if self._asked:
+            return
+        asked = self._asked = secrets.token_hex(8)
+        self.side.loop.add_timeout(self.side.connect_timeout, lambda: self.passed(asked, False, {}))
+        if not self.write(self._test()):
+            self.connect()
+
+    def _test(self) -> dict[str, Any]:
+        return {"t": "hb", "ref": self._asked, "f": {}, "c": WITH_REPORT}
+
+    def passed(self, asked: str, alive: bool, load: Load) -> None:
+        """The test of this id has ended; any other is none of ours."""
+        if asked and asked == self._asked:
+            self._asked = ""
+            self.side.calls.examined(self.server.id, alive, load)
+
     async def _run(self) -> None:
         try:
             stream = await open_stream(self.server.address, self.side.connect_timeout)
@@ -139,6 +162,8 @@
         self.stream, self.opened_at = stream, self.side.clock()
         self.line_since, self.looks_mute = None, False
         self.rhythm.opened(self.opened_at)
+        if self._asked:
+            self.write(self._test())
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
             # It may have drained while the connection came up: nothing new after that.
@@ -153,6 +178,7 @@
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
             self.side.calls.ended(attempt, ending)
+        self.passed(self._asked, False, {})
         if self.closed:
             return
         if ending is Ending.CONNECTION_REFUSED:  # standing calls outlive a connection, but not the process
@@ -280,6 +306,14 @@
         if link is not None:
             link.withdraw(attempt)
 
+    def examine(self, server: str) -> None:
+        """Test a log server. Only the module asks for it, where the settings allow it."""
+        link = self.links.get(server)
+        if link is None or link.server.status is not ServerStatus.READY:
+            self.calls.examined(server, alive=False)
+        else:
+            link.examine()
+
     def release(self, attempt: Attempt, cause: int) -> None:
         """Release a standing call."""
         link = self.links.get(attempt.server)
@@ -308,7 +342,7 @@
         if not isinstance(said, dict) or not isinstance(said.get("t"), str):
             raise Unreadable("a line is no message")
         kind, ref, fields = said["t"], said.get("ref"), said.get("f", {})
-        if kind not in ("gauge", "up", "down"):
+        if kind not in ("gauge", "up", "down", "hb_ok"):
             return  # free, or not for us
         if not isinstance(fields, dict):
             raise Unreadable(f"the fields of {kind} are no object")
@@ -317,6 +351,8 @@
             link.rhythm.told(link.heard_at)
             if load:
                 self.calls.load_told(link.server.id, load)
+        elif kind == "hb_ok":
+            link.passed(ref if isinstance(ref, str) else "", said.get("c") == PASSED, load)
         elif not isinstance(ref, str):
             raise Unreadable(f"{kind} without an id")
         elif kind == "up":
--- a/mallowquay/membership/roster.py
+++ b/mallowquay/membership/roster.py
@@ -65,6 +65,10 @@
         """Give a set-up up."""
         raise NotImplementedError
 
+    def examine(self, server: str) -> None:
+        """Ask for a sign of life. No side asks on its own, and one whose wire has no such word says: none."""
+        self.calls.examined(server, alive=False)
+
     def hang_up(self, attempt: Attempt) -> None:
         """A standing call is taken as cut."""
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -53,6 +53,7 @@
         self.started: list[Attempt] = []
         self.withdrawn: list[Attempt] = []
         self.released: list[tuple[Attempt, int]] = []
+        self.examined: list[str] = []
 
     def start(self, attempt: Attempt) -> None:
         self.started.append(attempt)
@@ -63,6 +64,9 @@
     def release(self, attempt: Attempt, cause: int) -> None:
         self.released.append((attempt, cause))
 
+    def examine(self, server: str) -> None:
+        self.examined.append(server)
+
 
 class FakeCaller:
     def __init__(self) -> None:
