Count each call to the tenant that it names, where the settings tell tenants

Seen: the second deployment bills three tenants and each set-up names one in P-Billed. Checked: the headers came (629, 487 and 185 calls of the three), none without one. Lines at fault: core/decisions.py, group=0; fronts/platform/front.py, which never read the field.

Change: the settings' tenants are read and checked (a name missing or given twice is named), the front turns P-Billed into the tenant's place (a name that the settings do not have is a bad request, as with P-Kind; none told counts for nobody), the request carries it to the module. New tenants come with SIGHUP as classes do. Terms holds what callers may name.

The test of the order of held calls fails with group=0.

--- a/mallowquay/assembly/platform.py
+++ b/mallowquay/assembly/platform.py
@@ -47,7 +47,7 @@
         calls.attach(servers)
         most = settings.sockets - SOCKETS_KEPT
         front = self.front = PlatformFront(
-            calls, monotonic, settings.classes, settings.end_margin, most, heart.operation, twin,
+            calls, monotonic, settings.terms, settings.end_margin, most, heart.operation, twin,
         )  # fmt: skip
         heart.front, heart.listed = front, lambda: servers.servers
         heart.unreadable = lambda: front.bad_messages + servers.unreadable
@@ -95,7 +95,7 @@
         if settings.platform is not None:
             self.coordinator.move(settings.platform.coordinator)
             self.servers.connect_timeout = settings.connect_timeout
-        self.front.retune(settings.classes)
+        self.front.retune(settings.terms)
 
     def stop(self) -> None:
         """A successor takes the connections."""
--- a/mallowquay/core/decisions.py
+++ b/mallowquay/core/decisions.py
@@ -128,7 +128,7 @@
         event = CallOffered(
             call=number,
             call_class=request.call_class,
-            group=0,
+            group=request.tenant,
             called=number_key(request.number),
             budget=budget,
             destination=request.destination,
--- a/mallowquay/core/model.py
+++ b/mallowquay/core/model.py
@@ -70,6 +70,7 @@
     taken_at: timedelta
     destination: int = -1
     redialled: bool = False
+    tenant: int = -1  # its place in the settings; -1 = told none
     description: str = ""
 
     @property
--- a/mallowquay/fronts/platform/front.py
+++ b/mallowquay/fronts/platform/front.py
@@ -13,7 +13,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
-from ...settings import ClassConfig
+from ...settings import ClassConfig, Terms
 from ...core.calls import Call, Calls, CallState
 from ...core.model import Clock, Ending, FinalAnswer, Request, Verdict
 from ...net.seldom import Seldom
@@ -56,7 +56,6 @@
 CLOSED_MOST = 128
 WATCH_EVERY = timedelta(milliseconds=200)
 NEW_FOR = timedelta(milliseconds=300)
-AWAY_GAP = timedelta(milliseconds=500)  # callers that are sent away come back so much later, elsewhere
 BAD_MOST = 16  # bad messages on one connection, then it is closed
 ID_LENGTH = 16
 HEX = frozenset("0123456789abcdefABCDEF")
@@ -79,15 +78,12 @@
         if call.request.id in connection.unanswered and connection.open:
             self.front.note_answered(call.request.id)
         connection.unanswered.discard(call.request.id)
-        extra: list[Header] = []
         if answer.verdict is Verdict.STANDS:
             connection.standing.add(call.request.id)
-            parts = write_response(200, self.headers, extra, answer.description.encode("utf-8", "replace"))
+            parts = write_response(200, self.headers, [], answer.description.encode("utf-8", "replace"))
         else:
             status = platform_status(answer)
-            if answer.retry_after:
-                extra = [("P-Gap-Ms", str(-(-answer.retry_after // MILLISECOND)))]
-            parts = write_response(status, self.headers, extra)
+            parts = write_response(status, self.headers, gap_header(answer.retry_after))
             self.front.over.add(call.request.id)  # late word on its attempts must not reach the caller
         connection.write(parts)
         self.front.leave(connection)
@@ -118,14 +114,14 @@
         self,
         calls: Calls,
         clock: Clock,
-        classes: dict[str, ClassConfig],
+        terms: Terms,
         end_margin: timedelta,
         most: int,
         operation: Operation,
         twin: Twin,
     ) -> None:
         super().__init__(max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
-        self._calls, self._clock, self._classes = calls, clock, classes
+        self._calls, self._clock, self._terms = calls, clock, terms
         self._margin, self._most, self._operation = end_margin, most, operation
         self.connections: dict[Connection, None] = {}  # the one heard of last at the end
         self._warn_bad, self._warn_most = Seldom(log, clock), Seldom(log, clock)
@@ -245,10 +241,10 @@
             connection.closing = True  # it keeps its place until it is gone
             finish_writing(connection.stream)
 
-    def retune(self, classes: dict[str, ClassConfig]) -> None:
-        """Take new classes; calls that are open keep theirs."""
-        self._before |= self._classes
-        self._classes = classes
+    def retune(self, terms: Terms) -> None:
+        """Take new classes and tenants; calls that are open keep theirs."""
+        self._before |= self._terms.classes
+        self._terms = terms
 
     def adopt_call(self, told: Packet, connection: Connection | None) -> None:
         """A call stood in the process before, which has ended: its release is ours."""
@@ -348,8 +344,8 @@
         if call_id in self._twin.ids:
             raise BadMessage(482, "the id is taken", message)
         if known is None and not self.answered.holds(call_id) and self._operation.refusing:
-            gap = ("P-Gap-Ms", str(AWAY_GAP // MILLISECOND))
-            connection.write(write_response(503, copied_headers(message), [gap]))
+            gap = gap_header(self._terms.away_gap)
+            connection.write(write_response(503, copied_headers(message), gap))
             self._calls.turn_away(request)
             self.note_answered(call_id)
             self.leave(connection)
@@ -367,12 +363,13 @@
 
     def _to_request(self, message: Message, call_id: str) -> Request:
         name = message.get("P-Kind")
-        kind = self._classes.get(name)
+        kind = self._terms.classes.get(name)
         known = self._calls.get(call_id)
         if kind is None and known is not None and known.request.class_name == name:
             kind = self._before.get(name)  # a copy of one that is open: its class was dropped meanwhile
         if kind is None:
             raise BadMessage(400, f"P-Kind names no class: {name[:40]!r}")
+        tenant = self._tenant(message) if known is None else known.request.tenant
         left = message.number("P-Time-Left")
         budget = kind.deadline if left is None else left * MILLISECOND
         if budget > 2 * kind.deadline:
@@ -401,9 +398,20 @@
             taken_at=self._clock(),
             destination=destination,
             redialled=message.get("P-Second-Try") == "1",
+            tenant=tenant,
             description=description,
         )
 
+    def _tenant(self, message: Message) -> int:
+        """The tenant's place; -1 where none is told, or callers are not told apart."""
+        name = message.get("P-Billed")
+        if not name or not self._terms.tenants:
+            return -1
+        place = self._terms.tenants.get(name)
+        if place is None:
+            raise BadMessage(400, f"P-Billed names no tenant: {name[:40]!r}")
+        return place
+
     def _cancel(self, connection: Connection, message: Message, call_id: str) -> None:
         known = self._calls.get(call_id) is not None or call_id in self._twin.ids
         self._reply(connection, message, 200 if known else 481)
@@ -473,6 +481,11 @@
         self._unsent[call_id] = parts
 
 
+def gap_header(gap: timedelta) -> list[Header]:
+    """Tells the caller for how long to stay away; nothing where there is no such wait."""
+    return [("P-Gap-Ms", str(-(-gap // MILLISECOND)))] if gap else []
+
+
 def same_call(one: Request, other: Request) -> bool:
     """Whether two set-ups under one id ask for the same."""
     return all(getattr(one, name) == getattr(other, name) for name in ("number", "class_name", "description"))
--- a/mallowquay/settings/__init__.py
+++ b/mallowquay/settings/__init__.py
@@ -16,6 +16,7 @@
     PlatformConfig,
     SipConfig,
     TakeoverConfig,
+    Terms,
     TrafficConfig,
     XdsConfig,
 )
@@ -26,8 +27,7 @@
 __all__ = [
     "MICROSECOND", "MILLISECOND", "OTHER", "SOCKETS_KEPT", "ClassConfig", "Config", "ConfigError",
     "ConsulConfig", "CopiesConfig", "FleetConfig", "PlatformConfig", "SipConfig", "TakeoverConfig",
-    "TrafficConfig",
-    "XdsConfig",
+    "Terms", "TrafficConfig", "XdsConfig",
     "check_numbers", "check_reload", "common", "fixed_changes", "flatten", "load", "of_process",
     "platform_config", "taken",
 ]  # fmt: skip
--- a/mallowquay/settings/common.py
+++ b/mallowquay/settings/common.py
@@ -9,6 +9,7 @@
 
 from .model import (
     ATTEMPTS_MOST,
+    AWAY_GAP,
     END_MARGIN,
     GUARD_MARGIN,
     SOCKETS_KEPT,
@@ -18,6 +19,7 @@
     ConsulConfig,
     PlatformConfig,
     SipConfig,
+    Terms,
     XdsConfig,
 )
 from .values import MICROSECOND, ConfigError, flatten, want
@@ -55,7 +57,7 @@
     limits = want(settings, "limits", dict, "settings.")
     return Config(
         settings=module,
-        classes=classes,
+        terms=Terms(classes, _tenants(settings), AWAY_GAP),
         seed=seed,
         release_wait=module.release_wait * MICROSECOND,
         connect_timeout=want(limits, "dialTimeout", int, "settings.limits.") * MICROSECOND,
@@ -70,6 +72,15 @@
     )
 
 
+def _tenants(settings: dict[str, Any]) -> dict[str, int]:
+    """Places of the tenants, by name, as the module counts them."""
+    told = want(settings, "tenants", list, "settings.") if settings.get("tenants") else []
+    names = [want(tenant, "name", str, f"settings.tenants.{place}.") for place, tenant in enumerate(told)]
+    if len(set(names)) < len(names):
+        raise ConfigError("settings.tenants: a name is given twice")
+    return {name: place for place, name in enumerate(names)}
+
+
 def check_numbers(settings: dict[str, Any]) -> None:
     """Text and truth values that would pass for numbers, and numbers that are none."""
     limits = want(settings, "limits", dict, "settings.")
--- a/mallowquay/settings/model.py
+++ b/mallowquay/settings/model.py
@@ -18,6 +18,7 @@
 GUARD_MARGIN = timedelta(milliseconds=10)  # and the guard of the core speaks so long before that end
 SOCKETS_KEPT = 64  # descriptors kept for log servers, the coordinator and the program itself
 DEFAULT_SOCKETS = 1024
+AWAY_GAP = timedelta(milliseconds=500)  # callers that are sent away come back so much later, elsewhere
 SPAN_MOST = 24 * 3600 * 1_000_000  # microseconds; no call waits for longer
 ATTEMPTS_MOST = 1000
 
@@ -33,6 +34,15 @@
     destinations: frozenset[int] | None = None  # numbers that log servers have; None = any
 
 
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What callers may name, and what they may be told."""
+
+    classes: dict[str, ClassConfig]
+    tenants: dict[str, int]  # name to place; empty where callers are not told apart
+    away_gap: timedelta  # callers that are sent away are told to come back so much later; 0 = told nothing
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformConfig:
     """What the platform's fronts need."""
@@ -140,11 +150,11 @@
     """All that the program is told."""
 
     settings: Settings
-    classes: dict[str, ClassConfig]
+    terms: Terms
     seed: int
     release_wait: timedelta
     connect_timeout: timedelta
-    default_gap: timedelta
+    default_gap: timedelta  # where no other is decided; 0 = callers are told none
     end_margin: timedelta
     guard_margin: timedelta
     sockets: int
@@ -159,3 +169,8 @@
     copies: CopiesConfig | None = None
     takeover: TakeoverConfig | None = None
     keys: dict[str, str] = field(default_factory=dict)  # of the file, but for those of its lists, with kinds
+
+    @property
+    def classes(self) -> dict[str, ClassConfig]:
+        """The classes of calls, by name."""
+        return self.terms.classes
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -1,13 +1,16 @@
-"""What deployments differ in, on the platform's protocol: whether log servers may be tested."""
+"""What deployments differ in, on the platform's protocol: tenants, tests of log servers."""
 
 from __future__ import annotations
 
 import copy
+import json
 from typing import Any
 
 from support import SETTINGS, LogServer
 from test_platform import PlatformCase
 
+from mallowquay.settings import ConfigError, common
+
 
 def settings_with(limits: dict[str, Any] | None = None, **more: Any) -> dict[str, Any]:
     settings = copy.deepcopy(SETTINGS) | more
@@ -15,6 +18,68 @@
     return settings
 
 
+FEW, MANY = {"fraction": 0.1, "quotaPerS": 0.1}, {"fraction": 0.9, "quotaPerS": 100.0}
+
+
+class TenantsTest(PlatformCase):
+    servers = 1
+
+    def more(self) -> dict[str, object]:
+        return {"settings": settings_with(tenants=[{"name": "few", **FEW}, {"name": "many", **MANY}])}
+
+    def ask(self, call_id: str, tenant: str | None) -> None:
+        billed = [] if tenant is None else [f"P-Billed: {tenant}"]
+        self.caller.send("INVITE", call_id, "P-Kind: log-lookup", "P-Time-Left: 3000",
+                         "P-Path: dest:0;width:1;via:-1", *billed, body="offer\r\n")  # fmt: skip
+
+    def hold_two(self, tenant: str) -> None:
+        """Two set-ups stay unanswered: a log server of unknown capacity is sent no more."""
+        for call_id in ("00000000000000a1", "00000000000000a2"):
+            self.ask(call_id, tenant)
+            self.assertEqual(self.log_servers[0].read()["ref"], call_id)
+
+    def test_a_call_within_its_tenants_share_goes_before_one_beyond(self) -> None:
+        self.hold_two("few")
+        self.ask("00000000000000a3", "few")
+        self.ask("00000000000000a4", "many")
+        self.caller.send("OPTIONS", "p")
+        self.caller.read()  # both have been taken, and are held
+        self.log_servers[0].say("up", "00000000000000a1", text="answer")
+        self.assertEqual(self.log_servers[0].read()["ref"], "00000000000000a4")
+
+    def test_within_a_share_the_first_that_came_goes_first(self) -> None:
+        self.hold_two("many")
+        self.ask("00000000000000a3", "many")
+        self.ask("00000000000000a4", "many")
+        self.caller.send("OPTIONS", "p")
+        self.caller.read()
+        self.log_servers[0].say("up", "00000000000000a1", text="answer")
+        self.assertEqual(self.log_servers[0].read()["ref"], "00000000000000a3")
+
+    def test_a_tenant_that_the_settings_do_not_name(self) -> None:
+        self.ask("00000000000000a1", "nobody")
+        self.assertEqual(self.caller.read()[""][8:11], "400")
+        self.ask("00000000000000a2", None)  # none is told: the call is nobody's, and goes
+        self.assertEqual(self.log_servers[0].read()["ref"], "00000000000000a2")
+        self.document["settings"]["tenants"].append({"name": "nobody", **FEW})
+        with open(self.file, "w", encoding="utf-8") as file:
+            json.dump(self.document, file)
+        self.program.process.send_signal(1)
+        self.program.wait_for("configuration_taken")
+        self.ask("00000000000000a3", "nobody")
+        self.assertEqual(self.log_servers[0].read()["ref"], "00000000000000a3")
+
+    def test_names_of_tenants_are_checked(self) -> None:
+        for tenants, named in (
+            ([FEW], "settings.tenants.0.name is missing"),
+            ([{"name": "few", **FEW}] * 2, "settings.tenants: a name is given twice"),
+            ("few", "settings.tenants must be list"),
+            ([{"name": "few", **FEW, "fraction": 2}], "fraction must be from 0 to 1"),
+        ):
+            with self.subTest(named), self.assertRaisesRegex(ConfigError, named):
+                common(settings_with(tenants=tenants), 1, 1024)
+
+
 class TestedTest(PlatformCase):
     """A log server that refuses connections is tested in place of calls, where that is allowed."""
 
