Tell callers no gap where the deployment's settings allow none

Seen: the second deployment's settings say retryAfter false, the module decides waits of 0 there (a probe in the facade: 0 of 68 refusals with a wait), and yet every refusal carried P-Gap-Ms. Lines at fault: settings/common.py gave a usual gap of at least half a second whatever the settings said, which core/calls.py put in place of the module's 0, and fronts/platform/front.py sent 500 ms to callers that are sent away. The first deployment allows gaps of 2 s: it worked by luck.

Change: the usual gap and that of callers sent away follow maxRetryAfter, are no longer than it, and are none where retryAfter is false. On the first deployment both stay as they were (1 s, 0.5 s).

The test fails with the gap given back.

--- a/mallowquay/settings/common.py
+++ b/mallowquay/settings/common.py
@@ -55,13 +55,15 @@
             raise ConfigError(f"settings.extra.circuitsByClass holds no width: {width!r}")
         classes[name] = ClassConfig(index, name, kind.deadline * MICROSECOND, width, numbers)
     limits = want(settings, "limits", dict, "settings.")
+    # Where callers may not be told when to come back, none is: neither a decided gap nor a usual one.
+    longest_gap = module.max_retry_after * MICROSECOND
     return Config(
         settings=module,
-        terms=Terms(classes, _tenants(settings), AWAY_GAP),
+        terms=Terms(classes, _tenants(settings), min(AWAY_GAP, longest_gap)),
         seed=seed,
         release_wait=module.release_wait * MICROSECOND,
         connect_timeout=want(limits, "dialTimeout", int, "settings.limits.") * MICROSECOND,
-        default_gap=max(module.max_retry_after, 1_000_000) * MICROSECOND / 2,
+        default_gap=longest_gap / 2,
         end_margin=END_MARGIN,
         guard_margin=GUARD_MARGIN,
         sockets=sockets,
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -1,4 +1,4 @@
-"""What deployments differ in, on the platform's protocol: tenants, tests of log servers."""
+"""What deployments differ in, on the platform's protocol: tenants, tests of log servers, gaps for callers."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from typing import Any
 
 from support import SETTINGS, LogServer
+from test_core import MS
 from test_platform import PlatformCase
 
 from mallowquay.settings import ConfigError, common
@@ -80,6 +81,29 @@
                 common(settings_with(tenants=tenants), 1, 1024)
 
 
+class NoGapTest(PlatformCase):
+    servers = 1
+
+    def more(self) -> dict[str, object]:
+        return {"settings": settings_with({"retryAfter": False})}
+
+    def test_callers_are_told_no_gap_where_the_settings_allow_none(self) -> None:
+        self.caller.invite("00000000000000a1", left=700)
+        self.log_servers[0].read()  # and never answers
+        answer = self.caller.read()
+        self.assertRegex(answer[""], "^SIP/2.0 5")
+        self.assertNotIn("p-gap-ms", answer)
+
+    def test_the_gaps_follow_the_settings(self) -> None:
+        for limits, usual, away in (
+            ({}, 1000, 500),
+            ({"retryAfter": False}, 0, 0),
+            ({"maxRetryAfter": 200_000}, 100, 200),  # no longer than callers heed
+        ):
+            config = common(settings_with(limits), 1, 1024)
+            self.assertEqual((config.default_gap, config.terms.away_gap), (usual * MS, away * MS))
+
+
 class TestedTest(PlatformCase):
     """A log server that refuses connections is tested in place of calls, where that is allowed."""
 
