Release a call whose own release is cut off after its id, and say what is left

At fault: PlatformServers.watch dropped the half line unread.

Change: a line that is not whole in time, has a cause and no description, and whose id, as far as it came, fits exactly one call that stands there, ends that call. The test fails without the change.

--- a/mallowquay/fronts/platform/servers.py
+++ b/mallowquay/fronts/platform/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import secrets
 from collections.abc import Callable
 from datetime import timedelta
@@ -54,6 +55,8 @@
     41: Ending.SETUP_RESET,
     34: Ending.LINES_FULL,
 }
+# A line that was cut off may still say whose release it was to be: its cause, and its id or the start of it.
+CUT_CAUSE, CUT_ID = re.compile(rb'"c":\s*(\d+)\s*,'), re.compile(rb'"ref":\s*"([0-9a-fA-F]+)')
 NOTES = {"ovl": Ending.PROCESSOR_FULL, "busy": Ending.NUMBER_BUSY, "nc": Ending.LINES_FULL}
 
 
@@ -68,6 +71,19 @@
     return BEFORE_ANSWER.get(number, Ending.FAULT)
 
 
+def cut_release(line: bytes, standing: list[str]) -> tuple[str, int] | None:
+    """The call whose release this begins, and its cause: the far end has told it, and does not again.
+
+    None unless exactly one of the calls that stand there goes by what is left of the id.
+    """
+    cause, begun = CUT_CAUSE.search(line), CUT_ID.search(line)
+    if cause is None or begun is None or b'"d"' in line:
+        return None
+    start = begun.group(1).decode()
+    meant = [call_id for call_id in standing if call_id.startswith(start)]
+    return (meant[0], int(cause.group(1))) if len(meant) == 1 else None
+
+
 def read_description(text: object) -> str:
     """The description of an answer; one that is spoilt must never be passed on as good."""
     if not isinstance(text, str):
@@ -96,6 +112,7 @@
         self.line_since: timedelta | None = None  # since when a line has begun and is not whole
         self.rhythm = Rhythm()  # of free lines: a connection that misses them is of no further use
         self.looks_mute = False
+        self.buffer = MessageBuffer(0)  # what has come and is not taken
         self._asked = ""  # the id of the test that is out: one at a time
 
     def connect(self) -> None:
@@ -187,7 +204,7 @@
             self.side.loop.add_timeout(LOOK_AGAIN, self.connect)
 
     async def _read(self, stream: IOStream) -> None:
-        buffer = MessageBuffer()
+        buffer = self.buffer = MessageBuffer()
         ending = None
         try:
             while True:
@@ -232,7 +249,9 @@
         if self.stream is not None:
             if self.line_since is not None and now - self.line_since >= LINE_WITHIN:
                 log.warning("server_line_not_whole", server=self.server.id, after=str(LINE_WITHIN))
+                begun = bytes(memoryview(self.buffer.data)[self.buffer.start : self.buffer.end])
                 self._broken(self.stream, Ending.UNREADABLE)
+                self.side.cut_off(self, begun)
             elif not self._missed_word(now):
                 self.looks_mute = False
             elif not self.looks_mute:
@@ -369,6 +388,14 @@
             # It crossed our giving up: the server must not hold it on.
             link.write({"t": "down", "ref": ref, "f": {}, "c": 16})
 
+    def cut_off(self, link: Link, begun: bytes) -> None:
+        """A line was not whole in time: if it was a release, and tells whose, the call is over."""
+        standing = [call.request.id for call in self.calls.standing_at(link.server.id)]
+        released = cut_release(begun, standing)
+        if released is not None:
+            log.info("release_cut_off", call=released[0], server=link.server.id)
+            self._down(link, released[0], released[1], None, {})
+
     def _down(self, link: Link, ref: str, cause: object, note: object, load: Load) -> None:
         attempt = link.open.pop(ref, None)
         if attempt is not None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -321,6 +321,20 @@
                 again[0].say("up", ref, text="good")
                 self.assertEqual(self.caller.read()["body"], "good")
 
+    def test_a_release_that_is_cut_off_after_its_id_releases_its_caller(self) -> None:
+        for call_id in ("00000000000000b7", "10000000000000b8", "10000000000000b9"):
+            self.set_up(call_id)
+        self.log_servers[0].raw(b'{"c":16,"f":{"load":"x0:9;x1:1000"},"ref":"00000')
+        self.assertEqual(self.caller.read()["call-id"], "00000000000000b7")
+        answer = b'{"d":"x","f":{},"ref":"10000000000000b8'
+        for cut in (b'{"c":16,"f":{},"ref":"1000', b'{"c":16,"f":{"lo', answer):
+            self.log_servers[0].accept()  # none of these tells whose release it was
+            self.log_servers[0].raw(cut)
+        self.log_servers[0].accept()
+        self.log_servers[0].say("down", "10000000000000b9", cause=16)
+        self.assertEqual(self.caller.read()["call-id"], "10000000000000b9")
+        self.assertTrue(self.caller.silent())
+
     def test_a_connection_that_says_nothing_more_is_left(self) -> None:
         server = self.log_servers[0]
         self.set_up("00000000000000d1")
