Give records, leases and the tables of recoveries of copies their named bounds

Tries are kept as long as the view could see their epochs again, waits until they are over, both only of logs that are somewhere. Kinds are counted as records come and go, not at each look. Two members that nobody used are gone.

The new tests fail without the bound and without the tidying.

--- a/mallowquay/assembly/copies.py
+++ b/mallowquay/assembly/copies.py
@@ -25,7 +25,7 @@
 
 CALL, LEASE = "call", "lease"
 LEASE_WITHIN = timedelta(seconds=5)
-LEASES_SHOWN = 100_000
+LEASES_MOST = 100_000  # granted here; those of lost machines come on top
 LEASE_DRIFT = 1.2  # of the span of a lease that another member may still go by
 
 
@@ -40,7 +40,8 @@
         )
         self.unprotected = self.late = self.protected = 0
         self._unprotected_now: set[str] = set()
-        self.adopted: list[Adopted] = []  # calls of lost machines, for whoever goes on with them
+        self.takes_over = False  # somebody goes on with calls of lost machines, and fetches them
+        self.adopted: list[Adopted] = []  # these calls
         self.leases: set[str] = set()
         member.node.on_life.append(lambda life: self.leases.clear())  # those of the life before come anew
         self.node.owners = {CALL: self._adopt_call, LEASE: lambda one: self.leases.add(one.key)}
@@ -49,7 +50,7 @@
         """Wait for the fleet's life: copies begin with it."""
         self._heart.pages += [
             Page("/copies", shown=self.node.told),
-            Page("/copies/leases", shown=lambda: {"leases": sorted(self.leases)[:LEASES_SHOWN]}),
+            Page("/copies/leases", shown=lambda: {"leases": sorted(self.leases)}),
             Page("/copies/grant", act=self._grant),
             Page("/copies/revoke", act=self._revoke),
         ]
@@ -125,12 +126,14 @@
             self.node.release(CALL, call.request.id)
 
     def _adopt_call(self, one: Adopted) -> None:
-        if self._heart.calls.get(one.key) is None:
+        if self.takes_over and self._heart.calls.get(one.key) is None:
             self.adopted.append(one)  # else it stands here: this life goes on with it
 
     # --- leases: for tests, and the smallest example of a kind
 
     async def _grant(self, names: list[str]) -> None:
+        if len(self.leases) + len(names) > LEASES_MOST:
+            raise ValueError(f"{len(self.leases)} leases are granted, and {LEASES_MOST} are the most")
         await self._promised(lambda name, told: self.node.hold(LEASE, name, b"", told), names)
         self.leases.update(names)
 
--- a/mallowquay/assembly/takeover.py
+++ b/mallowquay/assembly/takeover.py
@@ -31,6 +31,7 @@
         self, heart: Heart, takeover: TakeoverConfig, copies: CopiesAssembly, sip: SipAssembly
     ) -> None:  # fmt: skip
         self._heart, self._copies, self._sip = heart, copies, sip
+        copies.takes_over = True
         self._plan = Plan(PlanTerms(takeover.hold, takeover.within))
         self._bodies: dict[str, Mapping[str, Any]] = {}
         self._open: dict[
--- a/mallowquay/copies/machine.py
+++ b/mallowquay/copies/machine.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -38,13 +39,16 @@
     Yours,
 )
 from .placement import rank
-from .recovery import Recovery, Step, is_staged, owned_key, staged_kind
+from .recovery import Recovery, Step, owned_key, staged_kind
 from .writer import Sent, Writer
 
 MILLISECOND = timedelta(milliseconds=1)
 ANNOUNCE_EVERY = 700 * MILLISECOND
 OUTDONE_WAITS = 1500 * MILLISECOND  # at most, before a recovery that was outdone is begun anew
-RECOVERIES_MOST = 64
+RECOVERIES_MOST = 64  # under way, and as many that were outdone and are in doubt
+RECORDS_MOST = 200_000  # that this member promises; those of lost members come on top
+TAKEN_MOST = 10_000  # logs taken over that are remembered: who asks later is told by whoever dropped them
+VERDICTS_MOST = 1024  # logs whose seal is asked for; the others wait
 TICK = 50 * MILLISECOND
 
 
@@ -93,12 +97,13 @@
         self.log = LogId(name, life.number, life.mark)
         self.writer = Writer(self.log, self.keeper, terms.copies, terms.write)
         self.records: dict[tuple[str, str], tuple[str, bytes]] = {}  # acted on here: kind in the log, body
+        self._kinds: Counter[str] = Counter()  # of these records
         self.recoveries: dict[LogId, Recovery] = {}
-        self.taken: set[LogId] = set()  # logs whose records are this one's
+        self.taken: dict[LogId, None] = {}  # logs whose records are this one's, the oldest first
         self.adopted: list[Adopted] = []  # for whoever acts, to be fetched
         self.events: list[tuple[str, dict[str, Any]]] = []
         self._retry_at: dict[LogId, timedelta] = {}
-        self._attempts: dict[LogId, int] = {}
+        self._attempts: dict[LogId, tuple[int, int]] = {}  # the number of the view, and tries within it
         self._in_doubt: dict[LogId, Recovery] = {}  # staged here, outdone, and perhaps sealed all the same
         self._claims: dict[LogId, int] = {}  # of those: sealed into this log; the note that says so
         self._wanted_verdicts: dict[LogId, set[LogId]] = {}  # staged log: logs that it was staged in
@@ -124,6 +129,10 @@
         if len(key) > KEY_MOST or len(body) > BODY_MOST:
             raise ValueError(f"a record of {len(key)} + {len(body)}; {KEY_MOST} + {BODY_MOST} are the most")
         known = self.records.get((kind, key))
+        if known is None:
+            if len(self.records) >= RECORDS_MOST:
+                raise ValueError(f"{RECORDS_MOST} records are held, and no more can be")
+            self._kinds[kind] += 1
         in_log = known[0] if known is not None else kind
         self.records[kind, key] = (in_log, body)
         return self.writer.put(in_log, key, body)
@@ -133,7 +142,10 @@
         number.
         """
         known = self.records.pop((kind, key), None)
-        return self.writer.seq if known is None else self.writer.put(known[0], key, None)
+        if known is None:
+            return self.writer.seq
+        self._kinds[kind] -= 1
+        return self.writer.put(known[0], key, None)
 
     @property
     def promised(self) -> int:
@@ -208,6 +220,7 @@
     def _recover(self, now: timedelta, view: View, disks: Mapping[str, int]) -> None:
         if now >= self._announce_at:
             self._announce_at = now + ANNOUNCE_EVERY
+            self._tidy(now, view)
             for log, held in list(self.keeper.logs.items()):
                 successor = self.successor(log, view)
                 if successor is None or log == self.log:
@@ -227,6 +240,15 @@
                 self._begin(now, log, view, only_verdict=True)
                 del into
 
+    def _tidy(self, now: timedelta, view: View) -> None:
+        """Keep nothing of logs that are gone, but tries within this view: no epoch may come twice."""
+        alive = self.keeper.logs.keys() | self.recoveries.keys() | self._in_doubt.keys()
+        for log in [log for log, due in self._retry_at.items() if now >= due and log not in alive]:
+            del self._retry_at[log]
+        for log, (number, _) in list(self._attempts.items()):
+            if number < view.number and log not in alive:
+                del self._attempts[log]
+
     def successor(self, log: LogId, view: View) -> str | None:
         """Who brings about the end of a log; None while its writer's life goes on, or is not known."""
         standing = view.standing(log.writer)
@@ -243,7 +265,9 @@
         return max(up, key=lambda name: rank(log.writer, name)) if up else None
 
     def _begin(self, now: timedelta, log: LogId, view: View, only_verdict: bool = False) -> Recovery:
-        attempt = self._attempts[log] = self._attempts.get(log, -1) + 1
+        number, tries = self._attempts.get(log, (view.number, -1))
+        attempt = tries + 1 if number == view.number else 0
+        self._attempts[log] = (view.number, attempt)
         place = sorted(member.name for member in view.configured).index(self.name)
         # Greater with each view and attempt, and never the same for two members.
         epoch = (view.number << 24) | (min(attempt, 4095) << 12) | place
@@ -262,7 +286,9 @@
         step = recovery.step
         if step is Step.VERDICT:
             for doubtful, verdict in recovery.doubtful.items():
-                if verdict is None:
+                if verdict is None and (
+                    doubtful in self._wanted_verdicts or len(self._wanted_verdicts) < VERDICTS_MOST
+                ):
                     self._wanted_verdicts.setdefault(doubtful, set()).add(log)
             return
         if step not in (Step.DONE, Step.ELSEWHERE, Step.OUTDONE):
@@ -291,13 +317,16 @@
 
     def _take_over(self, now: timedelta, log: LogId, recovery: Recovery) -> None:
         """Its records are this member's to act on."""
-        self.taken.add(log)
+        self.taken[log] = None
+        if len(self.taken) > TAKEN_MOST:
+            del self.taken[next(iter(self.taken))]
         for done in (log, *recovery.done_with()):
             self._send(now, [Sent(name, Drop(done, done=True)) for name in recovery.everybody()])
         for entry in recovery.records:
             body = entry.body or b""
             if (entry.kind, entry.key) not in self.records:
                 self.records[entry.kind, entry.key] = (staged_kind(log, entry.kind), body)
+                self._kinds[entry.kind] += 1
                 self.adopted.append(Adopted(entry.kind, entry.key, body, log))
 
     # --- messages
@@ -357,6 +386,8 @@
         if recovery is not None:
             recovery.knows(message.ensemble)
             return
+        if len(self.recoveries) + len(self._in_doubt) >= 2 * RECOVERIES_MOST:
+            return
         if len(self.recoveries) >= RECOVERIES_MOST or now < self._retry_at.get(log, now):
             return
         self._begin(now, log, view).knows(message.ensemble)
@@ -385,11 +416,4 @@
 
     def kinds(self) -> dict[str, int]:
         """How many records of each kind this member acts for."""
-        found: dict[str, int] = {}
-        for kind, _ in self.records:
-            found[kind] = found.get(kind, 0) + 1
-        return found
-
-    def own_entries(self) -> list[tuple[str, str]]:
-        """Kind and key of all that is in the own log and is acted on."""
-        return [key for key, (in_log, _) in self.records.items() if not is_staged(in_log)]
+        return {kind: count for kind, count in self._kinds.items() if count}
--- a/mallowquay/fleet/trust.py
+++ b/mallowquay/fleet/trust.py
@@ -53,7 +53,6 @@
         self._ask_at = now
         self.status = Trust.ASKING
         self.latest = life.number  # the greatest number of a life of this name that anybody knows
-        self.term = 0
 
     @property
     def next_due(self) -> timedelta:
@@ -89,7 +88,6 @@
         if known.asked != self.life.mark or name not in self._others:
             return  # to an earlier life
         self._answers[name] = known
-        self.term = max(self.term, known.term)
         later = known.life.number > self.life.number
         other = known.life.number == self.life.number and known.life.mark != self.life.mark
         if later or other:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -179,6 +179,37 @@
     assert copies.forget("lease", "never there") == 0
 
 
+def test_records_have_a_bound_and_kinds_are_counted(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("mallowquay.copies.machine.RECORDS_MOST", 3)
+    copies = Copies("g1", Life(1, 2, 3), (), CopyTerms(), random.Random(1), SECOND)
+    for key in ("a", "b", "c"):
+        copies.put("lease", key, b"")
+    copies.put("lease", "a", b"again")
+    with pytest.raises(ValueError, match="3 records are held"):
+        copies.put("lease", "d", b"")
+    copies.forget("lease", "b")
+    copies.forget("lease", "b")
+    copies.put("call", "d", b"")
+    assert copies.kinds() == {"lease": 2, "call": 1}
+
+
+def test_what_is_known_of_logs_that_are_gone_is_forgotten() -> None:
+    world = formed(NAMES)
+    put(world, "g1", 4)
+    world.kill("g1")
+    world.run(8 * SECOND)
+    world.start("g1")
+    world.run(4 * SECOND)
+    world.kill("g2")  # a later view
+    world.run(12 * SECOND)
+    for name in ("g1", "g3", "g4", "g5"):
+        copies = world.sides[name].copies
+        assert copies is not None
+        view = copies._view
+        assert view is not None and not copies._retry_at
+        assert all(number == view.number for number, _ in copies._attempts.values())
+
+
 # --- files
 
 
