--- a/rigs/process.py
+++ b/rigs/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import random
 import signal
@@ -10,7 +11,12 @@
 import sys
 import tempfile
 import time
+from collections import deque
 from pathlib import Path
+from typing import IO
+
+CLAIMS_MOST = 400  # ports that one process keeps to itself; the oldest is given up first
+_claims: deque[IO[str]] = deque()
 
 ROOT = Path(__file__).resolve().parents[1]
 WAIT = 5.0  # seconds that any one thing may take; never a pause
@@ -28,6 +34,8 @@
     """A port for these transports, below those that the system gives to outgoing connections."""
     while True:
         port = random.SystemRandom().randrange(15_000, 32_000)
+        if not _claimed(port):
+            continue
         try:
             for kind in kinds:
                 with socket.socket(socket.AF_INET, kind) as sock:
@@ -37,6 +45,22 @@
             continue
 
 
+def _claimed(port: int) -> bool:
+    """Keep a port from others that ask here, in any process: it is bound later, and after each restart."""
+    folder = Path(tempfile.gettempdir()) / f"mallowquay-ports-{os.getuid()}"
+    folder.mkdir(exist_ok=True)
+    claim = (folder / str(port)).open("w")
+    try:
+        fcntl.flock(claim, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        claim.close()
+        return False
+    _claims.append(claim)
+    if len(_claims) > CLAIMS_MOST:
+        _claims.popleft().close()
+    return True
+
+
 class Process:
     """The real program, started as the platform starts it."""
 
