--- a/tests/test_fleet_endurance.py
+++ b/tests/test_fleet_endurance.py
@@ -29,4 +29,4 @@
 
 def test_the_copies_short_form_ends_without_a_violation() -> None:
     line = short_form("copies_endurance")
-    assert line["worlds"]["played"] == 60
+    assert line["worlds"] == 60 and line["promises"] > 1000 and line["granted"] > 100
