Take a release that is cut off only by half an id that no unanswered set-up shares

Cause, found on reading the change again: any start of an id was enough, and only calls that stand were looked at. A line cut after '"ref":"2' could be the refusal of a set-up unanswered there, and would have ended a healthy call that stands.

Change: half of the id must have come, and set-ups that were unanswered on the link count among those that it may mean.

--- a/mallowquay/fronts/platform/servers.py
+++ b/mallowquay/fronts/platform/servers.py
@@ -56,7 +56,7 @@
     34: Ending.LINES_FULL,
 }
 # A line that was cut off may still say whose release it was to be: its cause, and its id or the start of it.
-CUT_CAUSE, CUT_ID = re.compile(rb'"c":\s*(\d+)\s*,'), re.compile(rb'"ref":\s*"([0-9a-fA-F]+)')
+CUT_CAUSE, CUT_ID = re.compile(rb'"c":\s*(\d+)\s*,'), re.compile(rb'"ref":\s*"([0-9a-fA-F]{8,})')
 NOTES = {"ovl": Ending.PROCESSOR_FULL, "busy": Ending.NUMBER_BUSY, "nc": Ending.LINES_FULL}
 
 
@@ -71,16 +71,16 @@
     return BEFORE_ANSWER.get(number, Ending.FAULT)
 
 
-def cut_release(line: bytes, standing: list[str]) -> tuple[str, int] | None:
+def cut_release(line: bytes, known: list[str]) -> tuple[str, int] | None:
     """The call whose release this begins, and its cause: the far end has told it, and does not again.
 
-    None unless exactly one of the calls that stand there goes by what is left of the id.
+    None unless half of the id is there, and exactly one of the calls known there goes by it.
     """
     cause, begun = CUT_CAUSE.search(line), CUT_ID.search(line)
     if cause is None or begun is None or b'"d"' in line:
         return None
     start = begun.group(1).decode()
-    meant = [call_id for call_id in standing if call_id.startswith(start)]
+    meant = [call_id for call_id in known if call_id.startswith(start)]
     return (meant[0], int(cause.group(1))) if len(meant) == 1 else None
 
 
@@ -250,8 +250,9 @@
             if self.line_since is not None and now - self.line_since >= LINE_WITHIN:
                 log.warning("server_line_not_whole", server=self.server.id, after=str(LINE_WITHIN))
                 begun = bytes(memoryview(self.buffer.data)[self.buffer.start : self.buffer.end])
+                tried = list(self.open)
                 self._broken(self.stream, Ending.UNREADABLE)
-                self.side.cut_off(self, begun)
+                self.side.cut_off(self, begun, tried)
             elif not self._missed_word(now):
                 self.looks_mute = False
             elif not self.looks_mute:
@@ -388,11 +389,14 @@
             # It crossed our giving up: the server must not hold it on.
             link.write({"t": "down", "ref": ref, "f": {}, "c": 16})
 
-    def cut_off(self, link: Link, begun: bytes) -> None:
-        """A line was not whole in time: if it was a release, and tells whose, the call is over."""
+    def cut_off(self, link: Link, begun: bytes, tried: list[str]) -> None:
+        """A line was not whole in time: if it released a call that stands, and tells which, that is over.
+
+        `tried`: ids of set-ups that were unanswered there; their ends are known with the connection's.
+        """
         standing = [call.request.id for call in self.calls.standing_at(link.server.id)]
-        released = cut_release(begun, standing)
-        if released is not None:
+        released = cut_release(begun, standing + tried)
+        if released is not None and released[0] in standing:
             log.info("release_cut_off", call=released[0], server=link.server.id)
             self._down(link, released[0], released[1], None, {})
 
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -4,6 +4,7 @@
 
 import copy
 import json
+import select
 from typing import Any
 
 from support import SETTINGS, LogServer
@@ -40,22 +41,22 @@
             self.assertEqual(self.log_servers[0].read()["ref"], call_id)
 
     def test_a_call_within_its_tenants_share_goes_before_one_beyond(self) -> None:
-        self.hold_two("few")
-        self.ask("00000000000000a3", "few")
-        self.ask("00000000000000a4", "many")
-        self.caller.send("OPTIONS", "p")
-        self.caller.read()  # both have been taken, and are held
-        self.log_servers[0].say("up", "00000000000000a1", text="answer")
-        self.assertEqual(self.log_servers[0].read()["ref"], "00000000000000a4")
-
-    def test_within_a_share_the_first_that_came_goes_first(self) -> None:
-        self.hold_two("many")
-        self.ask("00000000000000a3", "many")
-        self.ask("00000000000000a4", "many")
+        for held, first in ((("few", "many"), 1), (("many", "many"), 0)):
+            with self.subTest(held):
+                self.hold_two_and_two(held, first)
+                self.doCleanups()
+                self.setUp()
+
+    def hold_two_and_two(self, tenants: tuple[str, str], first: int) -> None:
+        """Two set-ups stay unanswered, and two more are held until one of them is."""
+        self.hold_two(tenants[0])
+        ids = ("00000000000000a3", "00000000000000a4")
+        for call_id, tenant in zip(ids, tenants, strict=True):
+            self.ask(call_id, tenant)
         self.caller.send("OPTIONS", "p")
-        self.caller.read()
+        self.caller.read()  # both have been taken
         self.log_servers[0].say("up", "00000000000000a1", text="answer")
-        self.assertEqual(self.log_servers[0].read()["ref"], "00000000000000a3")
+        self.assertEqual(self.log_servers[0].read()["ref"], ids[first])
 
     def test_a_tenant_that_the_settings_do_not_name(self) -> None:
         self.ask("00000000000000a1", "nobody")
@@ -104,69 +105,52 @@
             self.assertEqual((config.default_gap, config.terms.away_gap), (usual * MS, away * MS))
 
 
-class TestedTest(PlatformCase):
-    """A log server that refuses connections is tested in place of calls, where that is allowed."""
+class SilentCase(PlatformCase):
+    """A log server dies and comes back; the list tells nothing of it."""
+
+    allowed = False
 
     def more(self) -> dict[str, object]:
-        return {"settings": settings_with({"mayProbe": True})}
+        return {"settings": settings_with({"mayProbe": self.allowed})}
 
-    def test_a_silent_log_server_is_tested_and_has_calls_again_once_it_passed(self) -> None:
-        gone = self.log_servers[0]
-        gone.reset()
-        # The first call finds it out, at another's cost of time; from then on none goes there.
+    def lose_one(self) -> LogServer:
+        self.log_servers[0].reset()
         self.caller.invite("00000000000000a1")
         self.assertEqual(self.log_servers[1].read()["ref"], "00000000000000a1")
-        self.log_servers[1].say("up", "00000000000000a1", text="answer")
-        self.assertEqual(self.caller.read()[""], "SIP/2.0 200 OK")
-        back = self.log_servers[0] = LogServer(gone.number, gone.port)
-        back.accept()
-        test = back.read()
-        self.assertEqual((test["t"], test["c"], test["f"]), ("hb", 1, {}))
-        back.say("gauge", "", load="x0:1000;x1:1000")
-        back.say("hb_ok", "00000000000000ff", cause=1)  # of no test
-        back.say("hb_ok", test["ref"], cause=0)  # failed: it is asked again
-        again = back.read()
-        self.assertEqual(again["t"], "hb")
-        self.assertNotEqual(again["ref"], test["ref"])
-        back.say("gauge", "", load="x0:1000;x1:1000")
-        back.say("hb_ok", again["ref"], cause=1, load="x0:1000;x1:1000")
+        self.log_servers[0] = LogServer(0, self.log_servers[0].port)
+        return self.log_servers[0]
+
+    def first_after(self, back: LogServer) -> dict[str, object]:
         for number in range(200):  # it is taken as cold: its first call may wait for its turn
             self.caller.invite(f"{number + 1024:016x}")
-            back.say("gauge", "", load="x0:1000;x1:1000")  # or its connection would be left as mute
-            if not back.silent(0.05):
-                break
-        self.assertEqual(back.read()["t"], "new")
+            if back.sock is None and select.select([back.listener], [], [], 0.05)[0]:
+                back.accept()
+            if back.sock is not None:
+                back.say("gauge", "", load="x0:1000;x1:1000")  # or its connection would be left as mute
+                if not back.silent(0.05):
+                    break
+        return back.read()
 
-    def test_a_test_that_nobody_answers_ends_and_another_follows(self) -> None:
-        self.log_servers[0].reset()
-        self.caller.invite("00000000000000a1")
-        self.log_servers[1].read()
-        back = self.log_servers[0] = LogServer(0, self.log_servers[0].port)
-        back.accept()
-        first, second = back.read(), back.read()
-        self.assertEqual([first["t"], second["t"]], ["hb", "hb"])
-        self.assertNotEqual(first["ref"], second["ref"])
 
+class TestedTest(SilentCase):
+    allowed = True
 
-class UntestedTest(PlatformCase):
+    def test_a_silent_log_server_is_tested_and_has_calls_again_once_it_passed(self) -> None:
+        back = self.lose_one()
+        back.accept()
+        refs = []
+        for passed in (None, 0, 1):  # unanswered, failed, passed
+            test = back.read()
+            self.assertEqual((test["t"], test["c"], test["f"]), ("hb", 1, {}))
+            refs.append(test["ref"])
+            back.say("gauge", "", load="x0:1000;x1:1000")
+            back.say("hb_ok", "00000000000000ff", cause=1)  # of no test
+            if passed is not None:
+                back.say("hb_ok", str(test["ref"]), cause=passed)
+        self.assertEqual(len(set(refs)), 3)
+        self.assertEqual(self.first_after(back)["t"], "new")
+
+
+class UntestedTest(SilentCase):
     def test_nothing_is_tested_where_the_settings_do_not_allow_it(self) -> None:
-        gone = self.log_servers[0]
-        gone.reset()
-        self.caller.invite("00000000000000a1")
-        self.assertEqual(self.log_servers[1].read()["ref"], "00000000000000a1")
-        back = LogServer(gone.number, gone.port)
-        self.addCleanup(back.listener.close)
-        # It has calls again instead: the next that names it, once it is no longer passed over.
-        self.log_servers[1].say("up", "00000000000000a1", text="answer")
-        self.caller.read()
-        for number in range(100):
-            self.caller.invite(f"{number + 1024:016x}")
-            if back.sock is None:
-                back.listener.settimeout(0.1)
-                try:
-                    back.accept()
-                except TimeoutError:
-                    pass
-            if back.sock is not None and not back.silent(0.05):
-                break
-        self.assertEqual(back.read()["t"], "new")
+        self.assertEqual(self.first_after(self.lose_one())["t"], "new")  # it is tried with a call instead
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,7 +18,7 @@
 from tornado.iostream import IOStream
 
 from mallowquay.core.model import Ending, ListTold, Server, ServerStatus
-from mallowquay.fronts.platform.servers import PlatformServers
+from mallowquay.fronts.platform.servers import PlatformServers, cut_release
 from mallowquay.membership.coordinator import FRAME, RECORD
 
 
@@ -322,18 +322,21 @@
                 self.assertEqual(self.caller.read()["body"], "good")
 
     def test_a_release_that_is_cut_off_after_its_id_releases_its_caller(self) -> None:
-        for call_id in ("00000000000000b7", "10000000000000b8", "10000000000000b9"):
+        for call_id in ("00000000000000b7", "10000000000000b8", "10000000000000b9", "20000000000000ba"):
             self.set_up(call_id)
-        self.log_servers[0].raw(b'{"c":16,"f":{"load":"x0:9;x1:1000"},"ref":"00000')
+        self.log_servers[0].raw(b'{"c":16,"f":{"load":"x0:9;x1:1000"},"ref":"00000000')
         self.assertEqual(self.caller.read()["call-id"], "00000000000000b7")
         answer = b'{"d":"x","f":{},"ref":"10000000000000b8'
-        for cut in (b'{"c":16,"f":{},"ref":"1000', b'{"c":16,"f":{"lo', answer):
+        ends = [b'{"c":16,"f":{},"ref":"' + start for start in (b"10000000", b"2000000")]
+        for cut in (*ends, b'{"c":16,"f":{"lo', answer):
             self.log_servers[0].accept()  # none of these tells whose release it was
             self.log_servers[0].raw(cut)
         self.log_servers[0].accept()
         self.log_servers[0].say("down", "10000000000000b9", cause=16)
         self.assertEqual(self.caller.read()["call-id"], "10000000000000b9")
         self.assertTrue(self.caller.silent())
+        begun = b'{"c":34,"f":{},"ref":"2000000000'  # an unanswered set-up's, or the standing call's?
+        self.assertIsNone(cut_release(begun, ["20000000000000ba", "20000000000000bb"]))
 
     def test_a_connection_that_says_nothing_more_is_left(self) -> None:
         server = self.log_servers[0]
