Play the short endurance forms after the other tests, not beside them

Seen: with both short forms among the parallel tests the suite took 49 to 90 s, and once of three runs test_mixed_transports_with_loss_and_reordering failed, output lost; alone it passes. Suspected, not shown: each form starts as many workers as there are cores, beside tests that time real sockets.

Change: make test plays them by themselves afterwards.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,8 @@
 	$(VENV)/bin/mypy
 
 test:
-	OPENBLAS_NUM_THREADS=1 $(PYTHON) -m pytest -q -n auto --durations=10 tests
+	OPENBLAS_NUM_THREADS=1 $(PYTHON) -m pytest -q -n auto --durations=10 --ignore tests/test_fleet_endurance.py tests
+	$(PYTHON) -m pytest -q tests/test_fleet_endurance.py  # each takes all cores: not beside the others
 
 endurance:
 	$(PYTHON) -m rigs.sip_peers --calls 100000
