Let no attempt begin for a caller that has gone, and no close throw a request away

Found by reading the paths and by tests that force each instant: 1. Set-ups were placed as soon as they were read, with their CANCEL or FIN unread behind them (front.py, _invite). Now they are taken at once (owed an answer) and placed when the connection has nothing more to read, or after 50 ms. 2. A further or held attempt left in the turn in which its caller's end had been read and not been taken (calls.py, _start). Now it looks at the caller's connection; what is unread goes first, for 4 turns at most. 3. Drain and 2.5 s watch closed connections whose request was read in that very turn, or lay unread after this process stood still; an eviction likewise (front.py: leave, watch, _make_room). The flag `reading` repeated what the read under way says; it is gone, `Connection.arriving` derives it. 4. A release in a write buffer went down with its connection (send_release); now it comes on another one. 5. `PlatformFront.settled()` was always true: the exit could cut unread requests, the accept queue, answers and releases. It now tells. 6. A late timer ran before answers and ends that had been read (Metronome): a time-out won against an answer in time. Checked and left: a release to a caller whose FIN arrives between read and write cannot be told from here.

--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -29,6 +29,7 @@
     ListTold,
     Load,
     LoadTold,
+    Presence,
     Request,
     Stood,
     Turned,
@@ -40,10 +41,17 @@
 
 Job = Callable[[], list[Decision]]
 
+# A set-up that was read less than this ago is sent without another look at its caller.
+SURELY_HERE = timedelta(milliseconds=20)
+# What has come from a caller is read before an attempt leaves for it, for so many turns of the loop at most:
+# one that sends without a pause must not hold its own calls up.
+UNREAD_TURNS_MOST, TURN = 4, timedelta(milliseconds=1)
+
 
 class CallState(Enum):
     """Where a call stands in its life."""
 
+    TAKEN = "owed an answer, and not placed yet"
     WAITING = "no attempt out"
     TRYING = "an attempt is out"
     PROMISING = "its log server has answered; its copies are awaited"
@@ -120,7 +128,7 @@
 
     def __init__(self, request: Request, caller: Caller, release_wait: timedelta) -> None:
         self.request, self.caller = request, caller
-        self.state = CallState.WAITING
+        self.state = CallState.TAKEN
         self.attempt: Attempt | None = None  # the one that is out or stands
         self.not_before = request.taken_at  # no attempt sooner: the release wait
         self.release_wait = release_wait  # as it was when the call came
@@ -157,6 +165,7 @@
         self.gate: Gate | None = None
         self.watches: list[CallWatch] = []
         self.came_to_stand: Callable[[Call], None] = lambda call: None
+        self.presence: Callable[[Call], Presence] = lambda call: Presence.HERE  # as its front sees it now
         self.unanswered = 0
         self.last_offer = clock()
         self.wake: Callable[[], None] = lambda: None  # told when the next due time may have changed
@@ -220,6 +229,12 @@
     # --- from the fronts
 
     def offer(self, request: Request, caller: Caller) -> Call:
+        """Take a call and place it at once."""
+        call = self.take(request, caller)
+        self.begin(call)
+        return call
+
+    def take(self, request: Request, caller: Caller) -> Call:
         """Take a call: from here on it is owed one final answer. An id still open joins its call."""
         known = self._calls.get(request.id)
         if known is not None:
@@ -233,15 +248,22 @@
         self._at(request.deadline - self._margin, lambda: self._overdue(call))
         for watch in self.watches:
             watch.offered(call, self.last_offer)
+        return call
+
+    def begin(self, call: Call) -> None:
+        """Place a call that was taken; one that has been given up since, or placed before, stays as it is."""
+        if call.state is not CallState.TAKEN:
+            return
+        call.state = CallState.WAITING
+        request = call.request
         if self.gate is not None:
-            admitted = self.gate.admit(request, self.last_offer)
+            admitted = self.gate.admit(request, self._clock())
             if isinstance(admitted, Turned):
                 call.why = admitted.why
                 self._finish(call, FinalAnswer(Verdict.REFUSED, retry_after=admitted.retry_after))
-                return call
+                return
             request = admitted
         self._do(lambda: _as_list(self._decisions.pick(request)))
-        return call
 
     def turn_away(self, request: Request) -> None:
         """A front refuses a call that it cannot take: no decision is asked for, yet it counts."""
@@ -413,7 +435,7 @@
             answer = FinalAnswer(Verdict.FAILED, retry_after=self._gap, timed_out=True)
             self._take_back(call, answer, Ending.TIMED_OUT)
             return
-        if call.state not in (CallState.WAITING, CallState.TRYING):
+        if call.state not in (CallState.TAKEN, CallState.WAITING, CallState.TRYING):
             return
         log.warning("call_undecided", call=call.request.id, call_class=call.request.class_name)
         attempt = call.attempt
@@ -474,15 +496,31 @@
         call.attempt, call.state, call.last = attempt, CallState.TRYING, attempt
         self._at(now + decision.wait, lambda: self._timed_out(attempt))
         if now < call.not_before:  # never before the release wait is over
-            self._at(call.not_before, lambda: self._start(call, attempt))
+            self._at(call.not_before, lambda: self._start(attempt))
         else:
-            self._start(call, attempt)
+            self._start(attempt)
 
-    def _start(self, call: Call, attempt: Attempt) -> None:
-        if call.attempt is attempt and call.state is CallState.TRYING:
-            for watch in self.watches:
-                watch.sent(attempt, self._clock())
-            self._side.start(attempt)
+    def start(self, attempt: Attempt) -> None:
+        """An attempt that the servers' side kept back may leave now: it does if it is still wanted."""
+        self._start(attempt)
+        self.wake()
+
+    def _start(self, attempt: Attempt, turns: int = 0) -> None:
+        """Send an attempt unless its caller has gone: what it said last may have come and not be read yet."""
+        call = self._calls.get(attempt.request.id)
+        if call is None or call.attempt is not attempt or call.state is not CallState.TRYING:
+            return
+        if self._clock() - call.request.taken_at >= SURELY_HERE:
+            presence = self.presence(call)
+            if presence is Presence.GONE:
+                self.caller_left(call.request.id)
+                return
+            if presence is Presence.UNREAD and turns < UNREAD_TURNS_MOST:
+                self._at(self._clock() + TURN, lambda: self._start(attempt, turns + 1))
+                return
+        for watch in self.watches:
+            watch.sent(attempt, self._clock())
+        self._side.start(attempt)
 
     def _decline(self, call: Call, retry_after: timedelta, failed: bool) -> None:
         if call.state is not CallState.WAITING:
--- a/mallowquay/core/model.py
+++ b/mallowquay/core/model.py
@@ -92,6 +92,14 @@
     leg: object = field(default=None, repr=False)
 
 
+class Presence(Enum):
+    """Whether the caller of a set-up still waits, as far as its connection shows at this instant."""
+
+    HERE = "nothing says otherwise"
+    UNREAD = "something has come from it and is not taken yet"
+    GONE = "its connection has closed"
+
+
 class Verdict(Enum):
     """The kinds of final answer."""
 
--- a/mallowquay/fronts/platform/connection.py
+++ b/mallowquay/fronts/platform/connection.py
@@ -2,12 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 
 from tornado.iostream import IOStream
 
-from ...net.streams import MessageBuffer, gathered_write
+from ...core.calls import Call
+from ...core.model import Presence
+from ...net.streams import MessageBuffer, Unread, gathered_write, unread, when_written
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """The word to a caller that its standing call is over; `parts` are its bytes."""
+
+    call_id: str
+    uri: str
+    cause: int
+    parts: list[bytes]
 
 
 class Connection:
@@ -22,7 +36,9 @@
         self.spoke = False  # a whole message has come
         self.bad = 0
         self.closing = False  # what still comes is not for us
-        self.reading = False  # nothing has been read that is not taken
+        self.more: asyncio.Future[int] | None = None  # the read under way; none while its bytes are taken
+        self.fresh: list[Call] = []  # read, and not placed before all that has come is read
+        self.releases: dict[str, Release] = {}  # that have not left whole
         self.key = 0  # of one that the process before has handed over
         self.elsewhere: set[str] = set()  # calls of the process before that are open on it
         self.handed: Callable[[list[bytes]], bool] | None = None  # writes where it has been handed to
@@ -37,6 +53,42 @@
         """Whether an answer is due here, or a call stands."""
         return bool(self.unanswered or self.standing or self.elsewhere)
 
+    @property
+    def arriving(self) -> bool:
+        """Whether something has come that is not taken yet."""
+        read = self.more is not None and self.more.done()
+        return read or unread(self.stream) is Unread.BYTES
+
+    @property
+    def idle(self) -> bool:
+        """Whether a close cuts nothing off: no message has begun, come or been left unwritten."""
+        begun = self.more is None or self.buffer.start < self.buffer.end
+        return not begun and not self.stream.writing() and not self.arriving
+
+    def presence(self) -> Presence:
+        """Whether whoever opened it is still there; of one handed over the successor tells."""
+        if self.handed is not None:
+            return Presence.HERE
+        if not self.stream.closed() and (self.more is None or self.more.done()):
+            return Presence.UNREAD
+        return PRESENCE[unread(self.stream)]
+
     def write(self, parts: list[bytes]) -> bool:
         """Send a message; False if the connection is gone."""
         return gathered_write(self.stream, parts) if self.handed is None else self.handed(parts)
+
+    def write_release(self, release: Release) -> bool:
+        """Send a release; it is owed until it has left whole."""
+        if not self.write(release.parts):
+            return False
+        if self.handed is None and self.stream.writing():
+            self.releases[release.call_id] = release
+            when_written(self.stream, lambda: self._left(release.call_id))
+        return True
+
+
+    def _left(self, call_id: str) -> None:
+        self.releases.pop(call_id, None)
+
+
+PRESENCE = {Unread.NOTHING: Presence.HERE, Unread.BYTES: Presence.UNREAD, Unread.END: Presence.GONE}
--- a/mallowquay/fronts/platform/front.py
+++ b/mallowquay/fronts/platform/front.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import json
+import select
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -15,7 +16,7 @@
 
 from ...settings import ClassConfig, Terms
 from ...core.calls import Call, Calls, CallState
-from ...core.model import Clock, Ending, FinalAnswer, Request, Verdict
+from ...core.model import Clock, Ending, FinalAnswer, Presence, Request, Verdict
 from ...errors import Fault
 from ...net.seldom import Seldom
 from ...net.streams import (
@@ -23,9 +24,8 @@
     WRITE_BUFFER_MOST,
     MessageBuffer,
     TooLong,
-    at_rest,
+    begin_fill,
     close_gently,
-    fill,
     finish_writing,
     quiet,
 )
@@ -45,7 +45,7 @@
     write_response,
 )
 from ..statuses import INTERWORKING_CUT, NORMAL_CLEARING, platform_status, release_cause
-from .connection import Connection
+from .connection import Connection, Release
 from .handover import Handover
 
 log = structlog.get_logger(part=__name__)
@@ -57,6 +57,10 @@
 CLOSED_MOST = 128
 WATCH_EVERY = timedelta(milliseconds=200)
 NEW_FOR = timedelta(milliseconds=300)
+# Set-ups are placed when nothing more has come on their connection, or after this: a cancel or the caller's
+# end may stand right behind them, and one that sends without a pause must not hold its own calls up.
+PLACED_WITHIN = timedelta(milliseconds=50)
+UNSENT_MOST = 1024  # releases that wait for a connection of any caller
 BAD_MOST = 16  # bad messages on one connection, then it is closed
 ID_LENGTH = 16
 HEX = frozenset("0123456789abcdefABCDEF")
@@ -128,7 +132,8 @@
         self._warn_bad, self._warn_most = Seldom(log, clock), Seldom(log, clock)
         self._watch = PeriodicCallback(self.watch, WATCH_EVERY)
         self._watch.start()
-        self._unsent: dict[str, list[bytes]] = {}  # releases that found no open connection
+        self._unsent: dict[str, Release] = {}  # releases that found no open connection
+        calls.presence = self.presence
         self.over = Recent(4096)  # calls that are over
         self.answered = Recent(4096)  # ids that have had their final answer: they do not come again
         # A release of a call that this process never took.
@@ -141,8 +146,27 @@
         self.handover = Handover(self, calls, twin)
 
     def settled(self) -> bool:
-        """Nothing is sent again on this wire: what is answered is done."""
-        return True
+        """Nothing has come that is not taken, and nothing is owed to callers that has not left."""
+        if self._unsent or self._arriving():
+            return False
+        return all(
+            not known.stream.writing() if known.closing else known.idle for known in self.connections
+        )
+
+    def _arriving(self) -> bool:
+        """Whether a connection stands that is not accepted yet."""
+        poll = select.poll()
+        for listener in self._sockets.values():
+            if listener.fileno() >= 0:  # else it is closed: a successor accepts
+                poll.register(listener, select.POLLIN)
+        return bool(poll.poll(0))
+
+    def presence(self, call: Call) -> Presence:
+        """Whether the caller of a set-up still waits, as far as its connection shows."""
+        caller = call.caller
+        if not isinstance(caller, PlatformCaller) or caller.connection is None:
+            return Presence.HERE
+        return caller.connection.presence()
 
     def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> Awaitable[None] | None:
         """Serve one connection until it closes.
@@ -163,14 +187,11 @@
             if connection.key:  # what came to the process before, and was not whole there
                 self._take(connection)
             while True:
-                connection.reading = True
-                await fill(stream, connection.buffer)
-                connection.reading = False
+                await self._read(connection)
                 if connection in self.connections and not connection.closing:
                     self._take(connection)
                 else:  # it gave way as this came, or is being closed
                     connection.buffer.start = connection.buffer.end
-                await asyncio.sleep(0)  # one that sends without a pause leaves the others their turn
         except StreamClosedError:
             pass
         except (TooLong, BadMessage) as fault:
@@ -188,6 +209,22 @@
                 stream.close()
                 self.give_up(connection)
                 self.handover.closed(connection)
+                for release in list(connection.releases.values()):  # they did not all leave
+                    self.send_release(release.call_id, release.uri, release.cause)
+
+    async def _read(self, connection: Connection) -> None:
+        """Read what has come, at least a byte; place what was taken before once nothing more is there."""
+        more = connection.more = begin_fill(connection.stream, connection.buffer)
+        fresh = connection.fresh
+        held = bool(fresh) and self._clock() - fresh[0].request.taken_at < PLACED_WITHIN
+        if fresh and not (more.done() and held):
+            connection.fresh = []
+            for call in fresh:
+                self._calls.begin(call)
+        if more.done():
+            await asyncio.sleep(0)  # one that sends without a pause leaves the others their turn
+        connection.buffer.filled(await more)
+        connection.more = None
 
     def new_connection(self, stream: IOStream) -> Connection:
         """A connection that opens now."""
@@ -224,7 +261,11 @@
         old = [known for known in rest if known.closing or (not known.spoke and known.opened_at <= grace)]
         spoke = [known for known in rest if known.spoke]
         crowded = begun if len(begun) > self.handover.places(self._most) // 2 else []
-        least = (old or spoke or crowded or rest or begun)[0]
+        # What has just come on one is not thrown away: it may be a whole request.
+        order = old + spoke + crowded + rest + begun
+        least = next((known for known in order if known.closing or not known.arriving), None)
+        if least is None:
+            return False
         self._warn_most.warning("idle_connection_closed", open=len(self.connections))
         del self.connections[least]  # its place is free at once
         least.stream.close()
@@ -237,8 +278,7 @@
         """
         if not self._operation.closing or connection.closing or connection.busy:
             return
-        buffer = connection.buffer
-        if connection.reading and buffer.start == buffer.end and at_rest(connection.stream):
+        if connection.idle:
             connection.closing = True  # it keeps its place until it is gone
             finish_writing(connection.stream)
 
@@ -272,7 +312,8 @@
             self.leave(connection)
             since = connection.waiting_since
             due = connection.unanswered or connection.elsewhere
-            if since is not None and now - since >= MESSAGE_WITHIN and not due:
+            # This process may have stood still: what has come meanwhile is read first.
+            if since is not None and now - since >= MESSAGE_WITHIN and not due and not connection.arriving:
                 connection.closing = True
                 connection.stream.close()
 
@@ -293,8 +334,9 @@
                 break
             if not connection.spoke:
                 connection.spoke = True
-                for call_id in list(self._unsent):
-                    connection.write(self._unsent.pop(call_id))
+                for release in list(self._unsent.values()):
+                    if connection.write_release(release):
+                        del self._unsent[release.call_id]
             connection.waiting_since = None
             try:
                 self._message(connection, message)
@@ -353,7 +395,7 @@
         elif known is None and not self.answered.holds(call_id):
             # One whose connection closed before its answer may come again, on another connection.
             connection.unanswered.add(call_id)
-            self._calls.offer(request, PlatformCaller(self, connection, message))
+            connection.fresh.append(self._calls.take(request, PlatformCaller(self, connection, message)))
         elif call_id not in connection.unanswered:  # nor may anybody end or join another's call by its id
             raise BadMessage(482, "the id is taken", message)
         elif known is not None and not same_call(known.request, request):
@@ -467,19 +509,19 @@
             ("CSeq", "2 BYE"),
             ("Reason", f"Q.850;cause={cause}"),
         ]
-        parts = write_request("BYE", uri, headers)
+        release = Release(call_id, uri, cause, write_request("BYE", uri, headers))
         for connection in [first, *reversed(self.connections)]:
             if connection is None or connection.closing:
                 continue
             # Not on one of a crowd that says nothing.
-            if (connection is first or connection.spoke) and connection.write(parts):
+            if (connection is first or connection.spoke) and connection.write_release(release):
                 return
         if self._twin.succeeded:  # all connections have gone there
             self._twin.send("release", id=call_id, uri=uri, cause=cause)
             return
-        while len(self._unsent) >= 1024:
+        while len(self._unsent) >= UNSENT_MOST:
             self._unsent.pop(next(iter(self._unsent)))
-        self._unsent[call_id] = parts
+        self._unsent[call_id] = release
 
 
 def gap_header(gap: timedelta) -> list[Header]:
--- a/mallowquay/fronts/platform/handover.py
+++ b/mallowquay/fronts/platform/handover.py
@@ -101,7 +101,7 @@
 
     def _hand(self, connection: Connection) -> None:
         stream, buffer = connection.stream, connection.buffer
-        if not connection.reading or not stream.reading() or stream.writing() or stream.closed():
+        if not stream.reading() or stream.writing() or stream.closed():
             return  # in a moment
         key = self._next_key = self._next_key + 1
         since = connection.waiting_since
--- a/mallowquay/net/clock.py
+++ b/mallowquay/net/clock.py
@@ -31,11 +31,20 @@
         return 0 if point is None else round((point + self._offset) / timedelta(milliseconds=1))
 
 
+# A timer that is late by this much says that this process stood still, or had much to do.
+LATE = timedelta(milliseconds=20)
+
+
 class Metronome:
-    """Calls Calls.tick when something is due: one timer of the loop at a time."""
+    """Calls Calls.tick when something is due: one timer of the loop at a time.
+
+    One that is late lets go first what has been read meanwhile: an answer that came in time, or the end of
+    the caller, counts before a timeout or a further attempt.
+    """
 
     def __init__(self, loop: IOLoop, calls: Calls) -> None:
         self._loop, self._calls = loop, calls
+        self._waited = False  # a turn, for what had been read
         self._handle: object | None = None
         self._due: timedelta | None = None
         calls.wake = self.wake
@@ -53,6 +62,10 @@
             self._handle = self._loop.add_timeout(max(due - monotonic(), timedelta(0)), self._tick)
 
     def _tick(self) -> None:
-        self._handle = self._due = None
+        if not self._waited and self._due is not None and monotonic() - self._due >= LATE:
+            self._waited = True
+            self._handle = self._loop.add_timeout(timedelta(0), self._tick)
+            return
+        self._handle, self._due, self._waited = None, None, False
         self._calls.tick()
         self.wake()
--- a/mallowquay/net/streams.py
+++ b/mallowquay/net/streams.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable, Sequence
 from datetime import timedelta
+from enum import Enum
 
 from tornado import gen
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
@@ -58,9 +59,17 @@
         self.filled(len(data))
 
 
+def begin_fill(stream: IOStream, buffer: MessageBuffer) -> asyncio.Future[int]:
+    """Read straight into the buffer: done at once with what has come, if anything has.
+
+    Whoever awaits it tells the buffer how much was filled. Errors: StreamClosedError, TooLong.
+    """
+    return stream.read_into(buffer.room(), partial=True)  # type: ignore[arg-type, return-value]
+
+
 async def fill(stream: IOStream, buffer: MessageBuffer) -> None:
     """Read what has come, at least a byte, straight into the buffer."""
-    buffer.filled(await stream.read_into(buffer.room(), partial=True))  # type: ignore[arg-type]
+    buffer.filled(await begin_fill(stream, buffer))
 
 
 def gathered_write(stream: IOStream, parts: Sequence[bytes | memoryview]) -> bool:
@@ -158,16 +167,32 @@
         stream.close()
 
 
-def at_rest(stream: IOStream) -> bool:
-    """Nothing waits to be written, and nothing has come that is yet to be read."""
-    if stream.closed() or stream.writing():
-        return False
+class Unread(Enum):
+    """What a socket holds that its stream has not read."""
+
+    NOTHING = "nothing"
+    BYTES = "bytes"
+    END = "the far end's close, or a reset"
+
+
+def unread(stream: IOStream) -> Unread:
+    """What has come and is not read, told without reading it."""
+    if stream.closed():
+        return Unread.END
     try:
-        return not stream.socket.recv(1, socket.MSG_PEEK)
+        return Unread.BYTES if stream.socket.recv(1, socket.MSG_PEEK) else Unread.END
     except BlockingIOError:
-        return True
+        return Unread.NOTHING
     except OSError:
-        return False
+        return Unread.END
+
+
+def at_rest(stream: IOStream) -> bool:
+    """Nothing waits to be written, nothing has come that is yet to be read, or is read and not taken.
+
+    The stream is one that a coroutine always reads: while it does not, it has something to take.
+    """
+    return stream.reading() and not stream.writing() and unread(stream) is not Unread.BYTES
 
 
 def finish_writing(stream: IOStream) -> None:
