--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON = $(VENV)/bin/python
 CHECKED = quincestand mallowquay tests benchmarks rigs
 
-.PHONY: together-endurance book-endurance site-endurance closings-endurance build dev lint test endurance dimension-check xds-endurance fleet-endurance fleet-size copies-endurance copies-cost fleet-test run
+.PHONY: together-endurance book-endurance site-endurance closings-endurance build dev lint test endurance dimension-check xds-endurance fleet-endurance fleet-size copies-endurance copies-cost fleet-test site-variants run
 
 build:
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -75,5 +75,14 @@
 	@test -x $(FLEET) || { echo "fleet-test: no kit at $(FLEET)"; exit 2; }
 	$(FLEET) score $(SITE) $(if $(QUICK),--quick) --why "$(WHY)"
 
+# What the operators' bench wants beside a site of our own, from their kit; ignored by git.
+VARIANT_FILES = real.json wire.json unlock.txt
+site-variants:
+	@test -d $(dir $(FLEET))../other || { echo "site-variants: no kit at $(dir $(FLEET))..: the sites of deploy/sites cannot be played without it"; exit 2; }
+	@for file in $(VARIANT_FILES); do \
+		cp -f $(dir $(FLEET))../other/$$file deploy/sites/ || { echo "site-variants: the kit holds no $$file"; exit 2; }; \
+	done
+	@echo "site-variants: ready: $(wildcard deploy/sites/*.toml)"
+
 run:
 	exec $(PYTHON) -m mallowquay
