Release a call whose answer never left, and hold an id that comes again for the release wait

Cause 1: a 200 that stood in the write buffer of a connection which then closed counted as given: the call stood at its log server, its caller could not know of it, nobody ended it (front.py, serve). Now it is released there. Cause 2: an id given up with its attempt out (its connection closed) may come again on another connection; its new attempt left at once, within the 300 ms after the cancel, perhaps to another log server (calls.py, offer). The end of the wait is remembered for the last 1,024 such ids.

--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -46,6 +46,7 @@
 # What has come from a caller is read before an attempt leaves for it, for so many turns of the loop at most:
 # one that sends without a pause must not hold its own calls up.
 UNREAD_TURNS_MOST, TURN = 4, timedelta(milliseconds=1)
+GIVEN_UP_MOST = 1024  # ids whose release wait is remembered, should they come again
 
 
 class CallState(Enum):
@@ -157,6 +158,7 @@
         self._calls: dict[str, Call] = {}
         self._due: list[tuple[timedelta, int, Callable[[], None]]] = []
         self._order = count()
+        self._given_up: dict[str, timedelta] = {}  # ids whose attempt was out: the end of the release wait
         self._jobs: deque[Job] = deque()
         self._running = False
         self.opened: Callable[[str], None] = lambda request_id: None  # told of each call taken
@@ -240,6 +242,7 @@
         if known is not None:
             return known
         call = self._calls[request.id] = Call(request, caller, self._release_wait)
+        call.not_before = self._given_up.pop(request.id, call.not_before)
         self.unanswered += 1
         self.last_offer = self._clock()
         self.figures.offered(request, self.last_offer)
@@ -305,6 +308,9 @@
         self._finish(call, FinalAnswer(verdict))
         self._do(lambda: self._decisions.report(CallerLeft(request_id)))
         if attempt is not None:
+            self._given_up[request_id] = self._clock() + call.release_wait
+            if len(self._given_up) > GIVEN_UP_MOST:
+                del self._given_up[next(iter(self._given_up))]
             self._side.withdraw(attempt)
             self._do(lambda: self._decisions.report(Ended(attempt, Ending.CALLER_LEFT, closed=True)))
         else:
--- a/mallowquay/fronts/platform/connection.py
+++ b/mallowquay/fronts/platform/connection.py
@@ -39,6 +39,7 @@
         self.more: asyncio.Future[int] | None = None  # the read under way; none while its bytes are taken
         self.fresh: list[Call] = []  # read, and not placed before all that has come is read
         self.releases: dict[str, Release] = {}  # that have not left whole
+        self.leaving: set[str] = set()  # calls that stand by an answer that has not left whole
         self.key = 0  # of one that the process before has handed over
         self.elsewhere: set[str] = set()  # calls of the process before that are open on it
         self.handed: Callable[[list[bytes]], bool] | None = None  # writes where it has been handed to
@@ -77,6 +78,12 @@
         """Send a message; False if the connection is gone."""
         return gathered_write(self.stream, parts) if self.handed is None else self.handed(parts)
 
+    def write_answer(self, call_id: str, parts: list[bytes]) -> None:
+        """Send the answer by which a call stands; before it has left whole the caller cannot know of it."""
+        if self.write(parts) and self.handed is None and self.stream.writing():
+            self.leaving.add(call_id)
+            when_written(self.stream, lambda: self.leaving.discard(call_id))
+
     def write_release(self, release: Release) -> bool:
         """Send a release; it is owed until it has left whole."""
         if not self.write(release.parts):
--- a/mallowquay/fronts/platform/front.py
+++ b/mallowquay/fronts/platform/front.py
@@ -86,11 +86,12 @@
         if answer.verdict is Verdict.STANDS:
             connection.standing.add(call.request.id)
             parts = write_response(200, self.headers, [], answer.description.encode("utf-8", "replace"))
+            connection.write_answer(call.request.id, parts)
         else:
             status = platform_status(answer)
             parts = write_response(status, self.headers, gap_header(answer.retry_after))
             self.front.over.add(call.request.id)  # late word on its attempts must not reach the caller
-        connection.write(parts)
+            connection.write(parts)
         self.front.leave(connection)
 
     def ended(self, call: Call) -> None:
@@ -209,6 +210,8 @@
                 stream.close()
                 self.give_up(connection)
                 self.handover.closed(connection)
+                for call_id in list(connection.leaving):  # nobody knows of these calls
+                    self.caller_released(call_id, NORMAL_CLEARING)
                 for release in list(connection.releases.values()):  # they did not all leave
                     self.send_release(release.call_id, release.uri, release.cause)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -230,6 +230,7 @@
     def __init__(self) -> None:
         self.begun: list[Attempt] = []
         self.withdrawn: list[Attempt] = []
+        self.released: list[str] = []
 
     def start(self, attempt: Attempt) -> None:
         self.begun.append(attempt)
@@ -238,7 +239,7 @@
         self.withdrawn.append(attempt)
 
     def release(self, attempt: Attempt, cause: int) -> None:
-        pass
+        self.released.append(attempt.request.id)
 
     def examine(self, server: str) -> None:
         pass
@@ -427,6 +428,34 @@
         release = await asyncio.to_thread(read_sip, other, kept)
         self.assertEqual((release[""][:4], release["call-id"]), ("BYE ", "00000000000000d1"))
 
+    async def test_a_call_whose_answer_did_not_leave_before_the_close_is_released(self) -> None:
+        """Its caller cannot know of it, so nobody would ever end it: nothing is left standing."""
+        sock, connection = await self.connected()
+        attempt = await self.set_up(sock, "00000000000000d4")
+        await self.full(sock, connection)
+        self.calls.stood(attempt, "x")
+        self.assertEqual(connection.leaving, {"00000000000000d4"})
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        sock.close()
+        await self.until(lambda: connection not in self.front.connections)
+        self.assertEqual(self.side.released, ["00000000000000d4"])
+        self.assertEqual(self.calls.pending, 0)
+
+    async def test_an_id_that_comes_again_waits_for_the_release_of_its_attempt_before(self) -> None:
+        """Term: 300 ms after a cancel before a resend, also where its caller's connection closed meanwhile."""
+        first, _ = await self.connected()
+        attempt = await self.set_up(first, "00000000000000d5")
+        first.close()
+        await self.until(lambda: self.side.withdrawn == [attempt])
+        self.side.begun.clear()
+        second, _ = await self.connected()
+        second.sendall(INVITE.format("00000000000000d5", 0).encode())
+        await self.until(lambda: self.calls.get("00000000000000d5") is not None)
+        self.assertEqual(self.side.begun, [])
+        self.skew += timedelta(seconds=1)
+        self.calls.tick()
+        self.assertEqual([again.request.id for again in self.side.begun], ["00000000000000d5"])
+
     async def test_a_release_that_left_is_not_sent_again_when_its_connection_closes(self) -> None:
         sock, connection = await self.connected()
         attempt = await self.set_up(sock, "00000000000000d2")
