--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -442,7 +442,7 @@
         self.assertEqual(self.calls.pending, 0)
 
     async def test_an_id_that_comes_again_waits_for_the_release_of_its_attempt_before(self) -> None:
-        """Term: 300 ms after a cancel before a resend, also where the caller's connection closed meanwhile."""
+        """Term: 300 ms after a cancel before a resend, also when the caller's connection has closed."""
         first, _ = await self.connected()
         attempt = await self.set_up(first, "00000000000000d5")
         first.close()
