Hear callers of the second front out before an attempt begins, and see its releases to their end

Gone is: CANCEL, or every connection of the INVITE closed (half-closed counts). An attempt already written goes on.

--- a/mallowquay/assembly/sip.py
+++ b/mallowquay/assembly/sip.py
@@ -23,11 +23,17 @@
 from .base import Assembly, Heart
 
 
+# T1 that a stopping process stays for a BYE or a refusal that was not heard: four copies, the last of them
+# with time for its answer. A peer that is gone holds it up no longer.
+LEAVES_WITHIN = 8
+
+
 class SipAssembly(Assembly):
     """Serve SIP over UDP and TCP."""
 
     def __init__(self, heart: Heart, sip: SipConfig) -> None:
         self._heart, self._sip = heart, sip
+        self._leaves: tuple[timedelta, timedelta] | None = None  # quiet since when, and stays until
 
     async def start(self) -> None:
         """Take the list."""
@@ -77,7 +83,12 @@
 
     def settled(self, quiet_since: timedelta) -> bool:
         """Callers have come for as long as they may, and what they are owed is written."""
-        return monotonic() >= quiet_since and self.front.settled()
+        now = monotonic()
+        if now < quiet_since or not self.front.settled():
+            return False
+        if self._leaves is None or self._leaves[0] != quiet_since:
+            self._leaves = (quiet_since, now + LEAVES_WITHIN * self._sip.t1)
+        return self.layer.settled() or now >= self._leaves[1]
 
 
 def _later(delay: timedelta, action: Callable[[], None]) -> asyncio.TimerHandle:
--- a/mallowquay/fronts/sip/front.py
+++ b/mallowquay/fronts/sip/front.py
@@ -23,9 +23,8 @@
     read_path,
     user_of,
 )
-from .servers import QUIET, SipServers
+from .servers import Bye, SipServers
 from .transactions import (
-    ClientTransaction,
     Handle,
     InviteServer,
     NonInviteClient,
@@ -44,6 +43,7 @@
 MANDATORY = ("Via", "From", "To", "Call-ID", "CSeq")
 BUSY_RETRY = ("Retry-After", "2")
 REFUSED_KEPT = 8192  # answers to set-ups turned away: copies come within 64 T1
+CANCELS_KEPT = 8192  # that came before their INVITE, which may follow within 64 T1
 EXPIRES_MOST = timedelta(hours=1)
 
 WATCH_EVERY = timedelta(milliseconds=200)
@@ -153,8 +153,10 @@
             return
         uri, headers = self.dialog.request("BYE")
         headers.append(("Reason", f"Q.850;cause={cause}"))
-        hop = self.front.hop_for(self)
-        NonInviteClient(self.front.layer, "BYE", uri, headers, hop, Bye(self, uri, headers)).start()
+        layer, hop = self.front.layer, self.front.hop_for(self)
+        other = OTHER[hop.transport]  # a caller may have switched its transport
+        again = Hop(other if layer.transport.serves(other) else hop.transport, hop.address)
+        NonInviteClient(layer, "BYE", uri, headers, hop, Bye(layer, uri, headers, again)).start()
         self.end()
 
     def end(self) -> None:
@@ -166,24 +168,6 @@
             self.front.forget_later(self)
 
 
-class Bye:
-    """Tries the other transport once where a BYE could not be sent."""
-
-    def __init__(self, leg: CallerLeg, uri: str, headers: list[Header]) -> None:
-        self.leg, self.uri, self.headers = leg, uri, headers
-
-    def responded(self, transaction: ClientTransaction, response: Message) -> None:
-        """Heard."""
-
-    def unanswered(self, transaction: ClientTransaction, ending: Ending) -> None:
-        """Nobody was there; a caller may have switched its transport."""
-        layer = self.leg.front.layer
-        other = OTHER[transaction.hop.transport]
-        if ending is not Ending.TIMED_OUT and layer.transport.serves(other):
-            hop = Hop(other, transaction.hop.address)
-            NonInviteClient(layer, "BYE", self.uri, self.headers, hop, QUIET).start()
-
-
 class SipFront:
     """Turns callers' requests into calls of the core."""
 
@@ -205,6 +189,8 @@
         self.legs: dict[LegKey, CallerLeg] = {}
         self.dialogs: dict[DialogId, CallerLeg] = {}
         self._refused: dict[LegKey, str] = {}  # and the tag of the answer
+        self._cancelled: dict[LegKey, timedelta] = {}  # before their INVITE came, and when
+        servers.caller_hops = self.hops_of
         self._watch = PeriodicCallback(self.watch, WATCH_EVERY)
         self._watch.start()
         layer.on_request, layer.on_ack = self.request, self.ack
@@ -256,6 +242,9 @@
         leg = self.legs[key] = CallerLeg(self, key, invite, transaction.hop)
         leg.join(transaction, transaction.hop)
         self.calls.offer(request, leg)
+        cancelled = self._cancelled.pop(key, None)
+        if cancelled is not None and self.clock() - cancelled < self.layer.timers.whole:
+            self.calls.caller_left(leg.call_id)
 
     def _refuse(self, transaction: InviteServer, key: LegKey) -> None:
         """No room for one more call. Its copies get the same answer, though there be room by then."""
@@ -292,9 +281,13 @@
         )
 
     def _cancel(self, transaction: ServerTransaction, cancel: Message) -> None:
-        leg = self.legs.get(leg_key(cancel))
+        key = leg_key(cancel)
+        leg = self.legs.get(key)
         if leg is None:
             transaction.respond(481, [], to_tag=self.new_tag())
+            self._cancelled[key] = self.clock()  # a datagram may overtake the one before it
+            if len(self._cancelled) > CANCELS_KEPT:
+                del self._cancelled[next(iter(self._cancelled))]
             return
         transaction.respond(200, [], to_tag=leg.tag)
         if leg.final is None:  # else it crossed the answer and changes nothing (9.2)
@@ -339,11 +332,19 @@
     def watch(self) -> None:
         """While callers are sent away: close their connections between requests."""
         if self._operation.closing:
-            waiting = [leg for leg in self.legs.values() if leg.final is None]
-            hops = [transaction.hop for leg in waiting for transaction in leg.transactions]
+            open_legs = [leg for leg in self.legs.values() if not leg.over]
+            hops = [transaction.hop for leg in open_legs for transaction in leg.transactions]
+            # The ACK of a 200, the BYE of a call that stands and the answer to ours come on the same one.
+            hops += [leg.hop for leg in open_legs] + [client.hop for client in self.layer.clients.values()]
             self.layer.transport.leave({hop.connection for hop in hops})
 
-    # --- for legs
+    # --- for legs and log servers
+
+    def hops_of(self, call_id: str) -> list[Hop]:
+        """Where the caller of an unanswered call awaits its answer."""
+        call = self.calls.get(call_id)
+        leg = None if call is None else call.caller
+        return [known.hop for known in leg.transactions] if isinstance(leg, CallerLeg) else []
 
     def stands(self, leg: CallerLeg) -> None:
         """Its dialog is there from the 200 on."""
--- a/mallowquay/fronts/sip/servers.py
+++ b/mallowquay/fronts/sip/servers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from datetime import timedelta
 
 import structlog
@@ -22,11 +24,13 @@
     State,
     Transactions,
 )
-from .transport import Hop, hop_of
+from .transport import Address, Backlog, Connection, Hop, hop_of
 
 log = structlog.get_logger(part=__name__)
 
 SECOND, MILLISECOND = timedelta(seconds=1), timedelta(milliseconds=1)
+TURNS = 3  # of the loop: what had come is reported in the second, and taken by the third
+HEARD_WITHIN = 50 * MILLISECOND  # a caller that has gone unheard did so no longer ago
 
 
 class Quiet:
@@ -43,6 +47,29 @@
 QUIET = Quiet()
 
 
+class Bye(Quiet):
+    """Goes once more, another way, if its connection is gone before the answer: it may not have arrived."""
+
+    def __init__(self, layer: Transactions, uri: str, headers: list[Header], again: Hop) -> None:
+        self.layer, self.uri, self.headers, self.again = layer, uri, headers, again
+
+    def unanswered(self, transaction: ClientTransaction, ending: Ending) -> None:
+        """Nobody was there on this way."""
+        if ending is not Ending.TIMED_OUT:
+            NonInviteClient(self.layer, "BYE", self.uri, self.headers, self.again, QUIET).start()
+
+
+@dataclass(slots=True)
+class Beginning:
+    """An attempt whose INVITE waits until callers have been heard out."""
+
+    attempt: Attempt
+    backlog: Backlog
+    since: timedelta
+    connection: Connection | None = None  # opened for it
+    turns: int = TURNS
+
+
 class ServerLeg:
     """One attempt at one log server, and the dialogs that its answers make."""
 
@@ -54,8 +81,8 @@
         self.invite: InviteClient | None = None  # until it is answered with a 2xx
         self.uri = ""
 
-    def start(self) -> None:
-        """Send the INVITE."""
+    def start(self, connection: Connection | None) -> None:
+        """Send the INVITE, by this connection if it goes by TCP."""
         side, request = self.side, self.attempt.request
         host, port = self.hop.address
         left = max(self.attempt.wait - (side.clock() - self.attempt.sent_at), timedelta(0))
@@ -76,7 +103,10 @@
         if body:
             headers.append(("Content-Type", "application/sdp"))
         self.uri = f"sip:{request.number}@{host}:{port}"
-        self.invite = InviteClient(side.layer, "INVITE", self.uri, headers, self.hop, self, body)
+        # By this connection or none: an INVITE that waited for another could leave after it was given up.
+        hop = Hop(self.hop.transport, self.hop.address, connection)
+        self.invite = InviteClient(side.layer, "INVITE", self.uri, headers, hop, self, body)
+        self.invite.wanted = lambda: not side.caller_gone(request.id)
         self.invite.start()
         side.calls.written(self.attempt)
 
@@ -137,7 +167,7 @@
                 return
             self.dialog = None
         self.side.bye(dialog, hop, NORMAL_CLEARING)
-        self.side.forget_later(self)
+        self.side.forget_later([dialog.id])
 
     def record(self) -> dict[str, object]:
         """The log server's side of the call that stands, for a copy."""
@@ -150,7 +180,7 @@
         dialog, self.dialog = self.dialog, None
         if dialog is not None and cause is not None:
             self.side.bye(dialog, self.side.hop_to(dialog, self.hop), cause)
-        self.side.forget_later(self)
+        self.side.forget_later(self.acks)
 
 
 class SipServers(Roster):
@@ -160,6 +190,10 @@
         super().__init__(calls)
         self.layer, self.clock, self.new_tag = layer, clock, new_tag
         self.dialogs: dict[DialogId, ServerLeg] = {}
+        self.caller_hops: Callable[[str], list[Hop]] = lambda request_id: []  # where an answer is awaited
+        self._beginnings: deque[Beginning] = deque()  # no more than calls that are open
+        self._turning = False
+        self._heard = clock() - HEARD_WITHIN  # what callers had sent by then is taken
         layer.on_stray_response = self._stray
 
     # --- the core's side
@@ -170,9 +204,71 @@
         if server is None or server.status is not ServerStatus.READY:
             self.calls.ended(attempt, Ending.MOOT)
             return
-        leg = ServerLeg(self, attempt, Hop(server.transport, server.address))
-        attempt.leg = leg
-        leg.start()
+        self._await_turn(attempt)
+
+    def _await_turn(self, attempt: Attempt, connection: Connection | None = None) -> None:
+        now, hops = self.clock(), self.caller_hops(attempt.request.id)
+        # The process has not stood still, and its caller has nothing more to say.
+        if now - self._heard < HEARD_WITHIN and not any(hop.unread for hop in hops):
+            self._begin(attempt, connection)
+            return
+        backlog = self.layer.transport.backlog(hops)
+        self._beginnings.append(Beginning(attempt, backlog, now, connection))
+        self._turn_soon()
+
+    def _turn_soon(self) -> None:
+        if not self._turning:
+            self._turning = True
+            self.layer.transport.soon(self._turn)
+
+    def _turn(self) -> None:
+        """One turn of the loop: begin what was awaited long enough."""
+        self._turning = False
+        try:
+            self.layer.transport.hear()
+            for _ in range(len(self._beginnings)):
+                beginning = self._beginnings.popleft()
+                beginning.turns -= 1
+                if beginning.turns > 0 or not self.layer.transport.taken(beginning.backlog):
+                    self._beginnings.append(beginning)
+                else:
+                    self._heard = max(self._heard, beginning.since)
+                    self._begin(beginning.attempt, beginning.connection)
+        finally:
+            if self._beginnings:
+                self._turn_soon()
+
+    def _begin(self, attempt: Attempt, opened: Connection | None) -> None:
+        """The one place where an attempt begins; what was given up while it waited does not."""
+        call = self.calls.get(attempt.request.id)
+        if call is None or call.attempt is not attempt:
+            return
+        server = self.servers.get(attempt.server)
+        if server is None or server.status is not ServerStatus.READY:
+            self.calls.ended(attempt, Ending.MOOT)
+            return
+        if self.caller_gone(attempt.request.id):
+            self.calls.caller_left(attempt.request.id)
+            return
+        hop = Hop(server.transport, server.address)
+        connection = self.layer.transport.outgoing(hop.address) if hop.reliable else None
+        if hop.reliable and connection is None:
+            if opened is not None:  # it closed at once: one connection an attempt
+                self.calls.ended(attempt, Ending.CONNECTION_FAILED)
+            else:
+                self._reach(attempt, hop.address)
+            return
+        attempt.leg = leg = ServerLeg(self, attempt, hop)
+        leg.start(connection)
+
+    def _reach(self, attempt: Attempt, address: Address) -> None:
+        def reached(result: Connection | Ending) -> None:
+            if isinstance(result, Ending):
+                self.calls.ended(attempt, result)
+            else:
+                self._await_turn(attempt, result)
+
+        self.layer.transport.reach(address, reached)
 
     def withdraw(self, attempt: Attempt) -> None:
         """Give a set-up up."""
@@ -204,6 +300,8 @@
         if leg is None:
             return False
         dialog = leg.dialog
+        if dialog is not None and dialog.id != id_of_request(request):
+            dialog = None  # of a second answer, which was closed: the call that stands goes on
         if request.method != "BYE":
             transaction.respond(200 if request.method == "OPTIONS" else 488, [])
         elif dialog is not None and not dialog.in_order(request.cseq()[0]):
@@ -233,6 +331,11 @@
 
     # --- helpers
 
+    def caller_gone(self, request_id: str) -> bool:
+        """Whether the caller of an unanswered call has closed every connection that it asked on."""
+        hops = self.caller_hops(request_id)
+        return bool(hops) and all(hop.ended for hop in hops)
+
     def hop_to(self, dialog: Dialog, default: Hop) -> Hop:
         """Where requests of a dialog go."""
         hop = hop_of(dialog.next_hop(), default.transport)
@@ -242,13 +345,15 @@
         """Close a dialog."""
         uri, headers = dialog.request("BYE")
         headers.append(("Reason", f"Q.850;cause={cause}"))
-        NonInviteClient(self.layer, "BYE", uri, headers, hop, QUIET).start()
+        again = Bye(self.layer, uri, headers, Hop(hop.transport, hop.address))
+        NonInviteClient(self.layer, "BYE", uri, headers, hop, again if hop.reliable else QUIET).start()
 
-    def forget_later(self, leg: ServerLeg) -> None:
-        """Keep a dialog for copies of its 2xx, then forget it."""
+    def forget_later(self, dialogs: Iterable[DialogId]) -> None:
+        """Keep dialogs for copies of their 2xx, then forget them."""
+        names = list(dialogs)
 
         def forget() -> None:
-            for name in leg.acks:
+            for name in names:
                 self.dialogs.pop(name, None)
 
         self.layer.later(self.layer.timers.whole, forget)
--- a/mallowquay/fronts/sip/transactions.py
+++ b/mallowquay/fronts/sip/transactions.py
@@ -10,7 +10,7 @@
 
 from ...core.model import Ending
 from .message import Header, Message, copied_headers, write_request, write_response
-from .transport import Address, Hop, Transport, parameter, stamped
+from .transport import Connection, Hop, Transport, parameter, stamped
 
 COOKIE = "z9hG4bK"
 
@@ -119,6 +119,11 @@
         """The same request came again."""
         self.resend()
 
+    @property
+    def unacknowledged(self) -> bool:
+        """Whether a refusal is still sent again for want of its ACK."""
+        return self.state is State.COMPLETED and self.method == "INVITE" and not self.hop.reliable
+
 
 class NonInviteServer(ServerTransaction):
     """Figure 8 of RFC 3261."""
@@ -197,7 +202,7 @@
 class ClientTransaction(Transaction):
     """A request that went out."""
 
-    __slots__ = ("branch", "headers", "hop", "method", "parts", "uri", "user")
+    __slots__ = ("branch", "headers", "hop", "method", "parts", "uri", "user", "wanted")
 
     def __init__(
         self,
@@ -214,6 +219,7 @@
         first = State.CALLING if method == "INVITE" else State.TRYING
         super().__init__(layer, (self.branch, method), first)
         self.method, self.uri, self.hop, self.user = method, uri, hop, user
+        self.wanted: Callable[[], bool] | None = None  # asked before each copy: the first may have been lost
         self.headers = [("Via", f"{layer.transport.via(hop)};branch={self.branch};rport"), *headers]
         self.parts = write_request(method, uri, self.headers, [], body)
 
@@ -232,6 +238,8 @@
 
     def _again(self, gap: timedelta) -> None:
         def fire() -> None:
+            if self.wanted is not None and not self.wanted():
+                return
             self.layer.transport.send(self.hop, self.parts, self.transport_failed)
             most = 2 * gap if self.method == "INVITE" else min(2 * gap, self.layer.timers.t2)
             self._again(self.layer.timers.t2 if self.state is State.PROCEEDING else most)
@@ -356,12 +364,24 @@
         if table.get(transaction.key) is transaction:
             del table[transaction.key]
 
-    def connection_lost(self, address: Address, ending: Ending) -> None:
-        """A connection that went out from here is gone, and the responses due on it."""
+    def connection_lost(self, connection: Connection, ending: Ending) -> None:
+        """A connection is gone, and the responses due on it."""
         for client in list(self.clients.values()):
-            if client.hop.reliable and client.hop.address == address:
+            hop = client.hop
+            # What names its connection has not failed with another to the same address.
+            shared = hop.connection is None and connection.outgoing and hop.address == connection.address
+            if hop.reliable and (shared or hop.connection is connection):
                 client.transport_failed(ending)
 
+    def settled(self) -> bool:
+        """Whether no request or refusal of ours may have to be sent again, and all is written."""
+        asked = (State.CALLING, State.TRYING, State.PROCEEDING)
+        return (
+            not any(client.state in asked for client in self.clients.values())
+            and not any(server.unacknowledged for server in self.servers.values())
+            and self.transport.written()
+        )
+
     def take(self, message: Message, hop: Hop) -> None:
         """One message from the transport."""
         if message.status:
@@ -392,7 +412,8 @@
             return
         kind = InviteServer if method == "INVITE" else NonInviteServer
         transaction = kind(self, key, message, hop)
-        if len(self.servers) >= self._most:
+        # A CANCEL has places of its own: a caller that has gone must be heard however full the table is.
+        if len(self.servers) >= (2 * self._most if method == "CANCEL" else self._most):
             # Without a transaction of its own: its state is what there is no room for.
             self.turned_away += 1
             parts = write_response(503, transaction.copied, [("Retry-After", "2")])
@@ -401,11 +422,6 @@
         self.servers[key] = transaction
         self.on_request(transaction, message)
 
-    def invite_of(self, cancel: Message) -> InviteServer | None:
-        """The INVITE that a CANCEL means, by its branch."""
-        found = self.servers.get(server_key(cancel, "INVITE"))
-        return found if isinstance(found, InviteServer) else None
-
 
 def server_key(message: Message, method: str) -> tuple[str, ...]:
     """What identifies a server transaction: branch and sent-by; for old clients, what 17.2.3 lists."""
--- a/mallowquay/fronts/sip/transport.py
+++ b/mallowquay/fronts/sip/transport.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
-from collections.abc import Awaitable, Callable, Set
+from collections.abc import Awaitable, Callable, Iterable, Set
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 
 import structlog
 from tornado.ioloop import IOLoop
@@ -21,13 +23,14 @@
     ConnectFailed,
     MessageBuffer,
     TooLong,
-    at_rest,
+    Unread,
+    begin_fill,
     close_ending,
-    fill,
     finish_writing,
     gathered_write,
     open_stream,
     quiet,
+    unread,
 )
 from ...net.tasks import Tasks
 from .message import SIP_VERSION, BadMessage, Header, Message, copied_headers, parse, write_response
@@ -36,10 +39,12 @@
 
 Address = tuple[str, int]
 Failed = Callable[[Ending], None]
+Reached = Callable[["Connection | Ending"], None]
 DATAGRAMS_AT_ONCE = 64  # then other work gets its turn
 DEFAULT_PORT = 5060
 WAITING_MOST = 256  # messages kept while a connection comes up
 RECEIVE_BUFFER = 4 * 1024 * 1024
+DATAGRAM_LEAST = 512  # what the system books on its receive buffer for a datagram, however short, is more
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,19 +61,38 @@
         """Whether the connection that it names has closed."""
         return self.connection is not None and self.connection.stream.closed()
 
+    @property
+    def ended(self) -> bool:
+        """As `broken`, but a close that has come and was not read yet counts as well."""
+        return self.connection is not None and self.connection.inbound() is Inbound.ENDED
+
+    @property
+    def unread(self) -> bool:
+        """Whether more has come by its connection than was taken."""
+        return self.connection is not None and self.connection.inbound() is Inbound.UNREAD
+
     @property
     def reliable(self) -> bool:
         """Whether the transport sends again by itself."""
         return self.transport == "tcp"
 
 
+class Inbound(Enum):
+    """How far what has come on a connection was taken."""
+
+    TAKEN = "all of it"
+    UNREAD = "some has come that is not taken"
+    ENDED = "all of it, and no more comes"
+
+
 class Connection:
     """One TCP connection, whoever opened it."""
 
     def __init__(self, stream: IOStream, address: Address, outgoing: bool) -> None:
         self.stream, self.address, self.outgoing = stream, address, outgoing
         self.buffer = MessageBuffer()
-        self.reading = False  # nothing has been read that is not taken
+        self.pending: asyncio.Future[int] | None = None  # the read that is out
+        self.read_bytes = 0
         self.closing = False  # what still comes is not for us
         self.spoke = outgoing  # a whole message has come, or we opened it
 
@@ -76,6 +100,29 @@
         """Send a message; False if the connection is gone."""
         return gathered_write(self.stream, parts)
 
+    def inbound(self) -> Inbound:
+        """Look, without taking anything; a close that has come but was not read yet is seen as well."""
+        read = self.pending
+        if read is not None and read.done() and not read.cancelled() and read.exception() is None:
+            return Inbound.UNREAD
+        if self.stream.closed():
+            return Inbound.ENDED
+        if read is None and self.buffer.start < self.buffer.end:  # its messages are being taken
+            return Inbound.UNREAD
+        return INBOUND[unread(self.stream)]
+
+
+INBOUND = {Unread.NOTHING: Inbound.TAKEN, Unread.BYTES: Inbound.UNREAD, Unread.END: Inbound.ENDED}
+
+
+@dataclass(frozen=True, slots=True)
+class Backlog:
+    """Counts by which all that had come at one moment is taken, though more comes without a pause."""
+
+    drained: int
+    datagrams: int
+    connections: tuple[tuple[Connection, int], ...]  # and the number of bytes read
+
 
 class Transport:
     """Both transports of one host and port each; messages go up to `take`."""
@@ -83,17 +130,23 @@
     def __init__(self, loop: IOLoop, connect_timeout: timedelta, connections_most: int) -> None:
         self._loop, self._connect_timeout, self._most = loop, connect_timeout, connections_most
         self.take: Callable[[Message, Hop], None] = lambda message, hop: None
-        self.lost: Callable[[Address, Ending], None] = lambda address, ending: None
+        self.lost: Callable[[Connection, Ending], None] = lambda connection, ending: None
         self._udp: socket.socket | None = None
         self._datagram = bytearray(MESSAGE_MOST + 1)
         self._local: dict[str, Address] = {}
         self._connections: dict[Connection, None] = {}  # the one opened first at the start
         self._out: dict[Address, Connection] = {}
-        self._coming: dict[Address, list[tuple[list[bytes], Failed | None]]] = {}
+        self._coming: dict[Address, list[Reached]] = {}
+        self._datagrams = self._drained = 0  # read, and how often there were no more
+        self._datagrams_queued_most = 0
         self.spawn = Tasks().spawn
         self._server: _Listener | None = None
         self.garbage = 0
 
+    def soon(self, action: Callable[[], None]) -> None:
+        """Call in the next turn of the loop."""
+        self._loop.add_callback(action)
+
     # --- listening
 
     def listen_udp(self, address: Address) -> None:
@@ -103,6 +156,7 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
         sock.bind(address)
         self._udp, self._local["udp"] = sock, sock.getsockname()
+        self._datagrams_queued_most = sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) // DATAGRAM_LEAST
         self._loop.add_handler(sock, self._readable, IOLoop.READ)
 
     def listen_tcp(self, address: Address) -> None:
@@ -147,6 +201,10 @@
             else:
                 self._send_anew(address, parts, failed)
 
+    def written(self) -> bool:
+        """Whether all that was given to connections has left, and none is coming up for more."""
+        return not self._coming and not any(known.stream.writing() for known in self._connections)
+
     def _fail(self, failed: Failed | None, ending: Ending) -> None:
         if failed is not None:  # not within the call that sent it
             self._loop.add_callback(failed, ending)
@@ -164,38 +222,52 @@
 
     def _send_anew(self, address: Address, parts: list[bytes], failed: Failed | None) -> None:
         known = self._out.get(address)
-        if known is not None and known.write(parts):
-            return
+        if known is None or not known.write(parts):
+            self.reach(address, lambda reached: self._send_reached(reached, parts, failed))
+
+    def _send_reached(self, reached: Connection | Ending, parts: list[bytes], failed: Failed | None) -> None:
+        if isinstance(reached, Ending):
+            self._fail(failed, reached)
+        elif not reached.write(parts):
+            self._fail(failed, Ending.CONNECTION_RESET)
+
+    def outgoing(self, address: Address) -> Connection | None:
+        """The connection that is up to this address, if any."""
+        known = self._out.get(address)
+        return None if known is None or known.stream.closed() else known
+
+    def reach(self, address: Address, reached: Reached) -> None:
+        """Open a connection, if none comes up already; `reached` has it later, or why there is none."""
         waiting = self._coming.get(address)
-        if waiting is not None:
-            if len(waiting) >= WAITING_MOST:
-                self._fail(failed, Ending.CONNECTION_SILENT)
-            else:
-                waiting.append((parts, failed))
-            return
-        if len(self._connections) + len(self._coming) >= self._most:
-            self._fail(failed, Ending.CONNECTION_SILENT)
-            return
-        self._coming[address] = [(parts, failed)]
-        self.spawn(self._connect(address))
+        if waiting is not None and len(waiting) < WAITING_MOST:
+            waiting.append(reached)
+        elif waiting is not None or (
+            len(self._connections) + len(self._coming) >= self._most and not self._make_room()
+        ):
+            self._loop.add_callback(reached, Ending.CONNECTION_SILENT)
+        else:
+            self._coming[address] = [reached]
+            self.spawn(self._connect(address))
 
     async def _connect(self, address: Address) -> None:
+        result: Connection | Ending
         try:
-            stream = await open_stream(address, self._connect_timeout)
+            result = Connection(await open_stream(address, self._connect_timeout), address, outgoing=True)
         except ConnectFailed as refused:
-            for _, failed in self._coming.pop(address):
-                self._fail(failed, refused.ending)
-            return
+            result = refused.ending
+        except OSError as fault:  # no descriptor is left: whoever waits must hear of it, and may come again
+            log.warning("connection_not_opened", to="%s:%d" % address, fault=str(fault))
+            result = Ending.CONNECTION_SILENT
         waiting = self._coming.pop(address)
-        connection = self._out[address] = Connection(stream, address, outgoing=True)
-        admitted = self.admit(connection)
-        for parts, _ in waiting:
-            connection.write(parts)
-        if admitted:
-            await self.read(connection)
-        else:
-            del self._out[address]
-            self.lost(address, Ending.CONNECTION_SILENT)
+        if isinstance(result, Connection):
+            if self.admit(result):
+                self._out[address] = result
+            else:
+                result = Ending.CONNECTION_SILENT
+        for reached in waiting:
+            reached(result)
+        if isinstance(result, Connection):
+            await self.read(result)
 
     # --- receiving
 
@@ -214,12 +286,15 @@
         ending: Ending | None = None
         try:
             while True:
-                connection.reading = True
-                await fill(stream, buffer)
-                connection.reading = False
+                connection.pending = begin_fill(stream, buffer)
+                count = await connection.pending
+                connection.pending = None
+                connection.read_bytes += count
+                buffer.filled(count)
                 if connection.closing:
                     buffer.start = buffer.end
                 self._take_all(connection)
+                await asyncio.sleep(0)  # one that sends without a pause leaves the others their turn
         except StreamClosedError:
             pass
         except (TooLong, BadMessage) as fault:
@@ -230,17 +305,20 @@
                 self._refuse(fault, Hop("tcp", connection.address, connection))
         finally:
             self._connections.pop(connection, None)
+            connection.pending = None  # one that failed
             stream.close()
             if self._out.get(connection.address) is connection:
                 del self._out[connection.address]
-        if connection.outgoing:
-            self.lost(connection.address, ending or close_ending(stream))
+        self.lost(connection, ending or close_ending(stream))
 
     def _make_room(self) -> bool:
         """At the limit: the one that has said nothing whole for the longest gives way to a newcomer."""
-        silent = next((known for known in self._connections if not known.spoke or known.closing), None)
-        if silent is None:
+        quiet_ones = [known for known in self._connections if not known.spoke or known.closing]
+        if not quiet_ones:
             return False
+        # One whose first request has come and is yet to be read speaks in a moment.
+        resting = (known for known in quiet_ones if known.inbound() is not Inbound.UNREAD)
+        silent = next(resting, quiet_ones[0])
         del self._connections[silent]
         silent.closing = True
         silent.stream.close()
@@ -250,11 +328,33 @@
         """Close callers' connections between requests, but for these."""
         for connection in [known for known in self._connections if known not in busy]:
             buffer = connection.buffer
-            rests = connection.reading and buffer.start == buffer.end and at_rest(connection.stream)
+            whole = buffer.start == buffer.end and not connection.stream.writing()
+            rests = whole and connection.inbound() is Inbound.TAKEN
             if rests and not connection.outgoing and not connection.closing:
                 connection.closing = True
                 finish_writing(connection.stream)
 
+    def backlog(self, hops: Iterable[Hop]) -> Backlog:
+        """What may have come by now and is not taken: on these connections, and as datagrams."""
+        connections = {hop.connection for hop in hops if hop.connection is not None}
+        read = tuple((known, known.read_bytes) for known in connections)
+        return Backlog(self._drained, self._datagrams, read)
+
+    def taken(self, backlog: Backlog) -> bool:
+        """Whether all of it is taken by now."""
+        if self._udp is not None and self._drained == backlog.drained:
+            if self._datagrams - backlog.datagrams <= self._datagrams_queued_most:
+                return False
+        return not any(
+            known.inbound() is Inbound.UNREAD and known.read_bytes - read <= _queued_most(known)
+            for known, read in backlog.connections
+        )
+
+    def hear(self) -> None:
+        """Take the datagrams that have come, up to a turn's number."""
+        if self._udp is not None:
+            self._readable(self._udp, IOLoop.READ)
+
     def _take_all(self, connection: Connection) -> None:
         buffer = connection.buffer
         while buffer.start < buffer.end:
@@ -271,11 +371,13 @@
         for _ in range(DATAGRAMS_AT_ONCE):
             try:
                 size, address = self._udp.recvfrom_into(self._datagram)
-            except (BlockingIOError, InterruptedError):
+            except BlockingIOError:
+                self._drained += 1
                 return
             except OSError as fault:  # word of an earlier datagram that found nobody
                 log.debug("datagram_unreadable", fault=str(fault))
                 continue
+            self._datagrams += 1
             hop = Hop("udp", address)
             try:
                 if size > MESSAGE_MOST:
@@ -311,6 +413,13 @@
             self.send(hop, write_response(fault.status, stamped(copied_headers(message), hop)))
 
 
+def _queued_most(connection: Connection) -> int:
+    """The bytes that the system keeps at most until they are read."""
+    if connection.stream.closed():
+        return 0
+    return connection.stream.socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) + MESSAGE_MOST
+
+
 class _Listener(TCPServer):
     def __init__(self, transport: Transport) -> None:
         super().__init__(max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
--- a/mallowquay/net/streams.py
+++ b/mallowquay/net/streams.py
@@ -189,14 +189,6 @@
         return Unread.END
 
 
-def at_rest(stream: IOStream) -> bool:
-    """Nothing waits to be written, nothing has come that is yet to be read, or is read and not taken.
-
-    The stream is one that a coroutine always reads: while it does not, it has something to take.
-    """
-    return stream.reading() and not stream.writing() and unread(stream) is not Unread.BYTES
-
-
 def finish_writing(stream: IOStream) -> None:
     """Close gently a stream that a coroutine goes on reading: it ends with the far end, or in a moment."""
     try:
