--- a/mallowquay/assembly/platform.py
+++ b/mallowquay/assembly/platform.py
@@ -49,6 +49,7 @@
         front = self.front = PlatformFront(
             calls, monotonic, settings.terms, settings.end_margin, most, heart.operation, twin,
         )  # fmt: skip
+        heart.shown.append(lambda news: self._share(len(servers.servers)))
         heart.front, heart.listed = front, lambda: servers.servers
         heart.unreadable = lambda: front.bad_messages + servers.unreadable
         front.stray_release = servers.release_stray
@@ -90,6 +91,12 @@
         twin.send("serves")
         heart.addresses = {"name": platform.name, "at": f"{host}:{port}"}
 
+    def _share(self, servers: int) -> None:
+        """Each log server on the list has its descriptor, whatever callers hold."""
+        config = self._heart.config
+        kept = config.kept(servers)
+        self.front.resize(config.sockets - kept, kept)
+
     def reload(self, settings: Config) -> None:
         """The coordinator may have moved, and the classes changed."""
         if settings.platform is not None:
--- a/mallowquay/fronts/platform/front.py
+++ b/mallowquay/fronts/platform/front.py
@@ -12,12 +12,12 @@
 import structlog
 from tornado.ioloop import PeriodicCallback
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpserver import TCPServer
 
-from ...settings import ClassConfig, Terms
+from ...settings import SOCKETS_KEPT, ClassConfig, Terms
 from ...core.calls import Call, Calls, CallState
 from ...core.model import Clock, Ending, FinalAnswer, Presence, Request, Verdict
 from ...errors import Fault
+from ...net.accepting import AcceptingServer
 from ...net.seldom import Seldom
 from ...net.streams import (
     MESSAGE_MOST,
@@ -113,7 +113,7 @@
         self.connection = connection
 
 
-class PlatformFront(TCPServer):
+class PlatformFront(AcceptingServer):
     """Listens for callers and turns their messages into calls of the core."""
 
     def __init__(
@@ -129,6 +129,7 @@
         super().__init__(max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
         self._calls, self._clock, self._terms = calls, clock, terms
         self._margin, self._most, self._operation = end_margin, most, operation
+        self._kept = SOCKETS_KEPT
         self.connections: dict[Connection, None] = {}  # the one heard of last at the end
         self._warn_bad, self._warn_most = Seldom(log, clock), Seldom(log, clock)
         self._watch = PeriodicCallback(self.watch, WATCH_EVERY)
@@ -174,8 +175,8 @@
 
         Its place is found before the next one is accepted: a burst must not use up the descriptors.
         """
-        places = self.handover.places(self._most)
-        if len(self.connections) >= places and not self._make_room():
+        places = self.places
+        if len(self.connections) >= places and not self.make_room():
             self._warn_most.warning("connection_refused", places=places)
             stream.close()
             return None
@@ -236,9 +237,19 @@
         self.connections[connection] = None
         return connection
 
+    @property
+    def places(self) -> int:
+        """How many connections of callers may be open now."""
+        return self.handover.places(self._most, self._kept)
+
+    def resize(self, most: int, kept: int) -> None:
+        """So many places there are from now on, and so many descriptors are kept from callers."""
+        self._most, self._kept = most, kept
+        self.trim()
+
     def trim(self) -> None:
         """There are fewer places from now on."""
-        while len(self.connections) > self.handover.places(self._most) and self._make_room():
+        while len(self.connections) > self.places and self.make_room():
             pass
 
     def give_up(self, connection: Connection) -> None:
@@ -246,7 +257,7 @@
         for call_id in list(connection.unanswered):
             self._calls.caller_left(call_id)
 
-    def _make_room(self) -> bool:
+    def make_room(self) -> bool:
         """Close what is missed least; who has a set-up open or a call standing keeps its place.
 
         First one that has said nothing for a moment, then the one longest without a word. One that
@@ -263,7 +274,7 @@
             (begun if half else rest).append(known)
         old = [known for known in rest if known.closing or (not known.spoke and known.opened_at <= grace)]
         spoke = [known for known in rest if known.spoke]
-        crowded = begun if len(begun) > self.handover.places(self._most) // 2 else []
+        crowded = begun if len(begun) > self.places // 2 else []
         # What has just come on one is not thrown away: it may be a whole request.
         order = old + spoke + crowded + rest + begun
         least = next((known for known in order if known.closing or not known.arriving), None)
--- a/mallowquay/fronts/platform/handover.py
+++ b/mallowquay/fronts/platform/handover.py
@@ -79,11 +79,11 @@
             release=lambda told: front.send_release(told["id"], told["uri"], told["cause"]),
         )
 
-    def places(self, most: int) -> int:
+    def places(self, most: int, kept: int = SOCKETS_KEPT) -> int:
         """How many connections may be open here: the two share what the configuration gives."""
         if not self.twin.alive:
-            return most
-        both = most - SOCKETS_KEPT  # each keeps as many for itself
+            return max(most, PLACES_LEAST)
+        both = most - kept  # each keeps as many for itself
         return max(both if self._succeeds else both // 2, PLACES_LEAST)
 
     # --- the process that ends
--- a/mallowquay/membership/consul.py
+++ b/mallowquay/membership/consul.py
@@ -67,13 +67,17 @@
         while True:
             try:
                 self.apply(await self._query())
-                gap = RETRY_LEAST
             except (ConsulFault, HTTPClientError, HTTPStreamClosedError, HTTPTimeoutError, OSError) as fault:
                 known = fault if isinstance(fault, ConsulFault) else ConsulSilent(str(fault), self._where)
                 log.warning("consul_fault", **known.told())
-                self.index = 0  # the next query answers at once, whatever was missed
-                await asyncio.sleep(gap.total_seconds() * (0.5 + self._chance.random()))
-                gap = min(2 * gap, RETRY_MOST)
+            except Exception as fault:  # whatever an answer has met here: the watch is not given up
+                log.error("consul_fault", exc_info=fault, **ConsulSilent(repr(fault), self._where).told())
+            else:
+                gap = RETRY_LEAST
+                continue
+            self.index = 0  # the next query answers at once, whatever was missed
+            await asyncio.sleep(gap.total_seconds() * (0.5 + self._chance.random()))
+            gap = min(2 * gap, RETRY_MOST)
 
     def _query(self) -> Any:
         config = self._config
@@ -101,18 +105,18 @@
             raise ConsulFault(f"X-Consul-Index is no number: {text!r}", "X-Consul-Index")
         servers = read_instances(response.body, self._unix)
         index = int(text)
-        # An index that goes back means a restored catalogue: begin anew. One of 0 would never block.
-        self.index = 0 if index < self.index else max(index, 1)
         if servers != self._last:
-            self._last = servers
             self._tell(ListTold(servers, whole=True))
+            self._last = servers  # only now: what was not taken whole is told again
+        # An index that goes back means a restored catalogue: begin anew. One of 0 would never block.
+        self.index = 0 if index < self.index else max(index, 1)
 
 
 def read_instances(body: bytes, unix: UnixTime) -> tuple[Server, ...]:
     """The instances of an answer; ConsulFault names what cannot be read."""
     try:
         entries = json.loads(body)
-    except ValueError as fault:
+    except (ValueError, RecursionError) as fault:
         raise ConsulFault("the answer is not JSON") from fault
     if not isinstance(entries, list):
         raise ConsulFault("the answer is not a list")
--- a/mallowquay/membership/coordinator.py
+++ b/mallowquay/membership/coordinator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 import struct
 from collections.abc import Callable, Iterable
@@ -16,6 +17,8 @@
 from ..errors import Fault
 from ..net.clock import UnixTime
 from ..net.streams import ConnectFailed, open_stream
+from ..settings.values import ConfigError
+from ..settings.values import address as read_address
 
 log = structlog.get_logger(part=__name__)
 
@@ -34,7 +37,10 @@
 # An empty frame comes each second. A feed that stops while open, midway in a frame or between two, must be
 # left early enough to be followed anew within the 4 s that its events may take.
 SILENT_AFTER = timedelta(milliseconds=2200)
-RETRY_AFTER = timedelta(milliseconds=200)
+# Hundreds of processes lose the feed at one moment: each waits a drawn part of a back-off that doubles. The
+# longest silence, pause and dial together stay under those 4 s.
+RETRY_LEAST, RETRY_MOST = timedelta(milliseconds=200), timedelta(milliseconds=800)
+INDEX_MOST = 2**64 - 1  # it is asked from in 8 bytes
 
 
 class FeedError(Fault):
@@ -80,13 +86,16 @@
 
 
 def read_known(known: dict[str, Any], unix: UnixTime) -> tuple[int, list[ListTold]]:
-    """The last number and the events of the configuration's `known`."""
+    """The last number and the events of the configuration's `known`. Errors: ConfigError, and of kinds."""
     events: list[ListTold] = []
     for update in known.get("updates", []):
         told = update.get("endpoints", {})
         servers = tuple(_known_server(entry, unix) for entry in told.get("servers", []))
         events.append(ListTold(servers, bool(told.get("full")) or not events))
-    return int(known.get("index", 0)), events
+    index = known.get("index", 0)
+    if not isinstance(index, int) or not 0 <= index <= INDEX_MOST:
+        raise ConfigError(f"index {index!r} is no number of an event", "known")
+    return index, events
 
 
 def tell_servers(servers: Iterable[Server], unix: UnixTime) -> list[dict[str, Any]]:
@@ -110,10 +119,13 @@
 
 
 def _known_server(entry: dict[str, Any], unix: UnixTime) -> Server:
-    host, _, port = entry["addr"].rpartition(":")
+    host, port = read_address(entry["addr"], "known")
     status = WORDS[entry["state"]]
-    started = _point(int(entry.get("started_ms", 0)), unix)
-    return Server(entry["id"], (host, int(port)), int(entry.get("cell", -1)), status, started)
+    try:
+        cell, started = int(entry.get("cell", -1)), _point(int(entry.get("started_ms", 0)), unix)
+    except (OverflowError, FeedError) as fault:
+        raise ConfigError(f"{entry['id']}: {fault}", "known") from fault
+    return Server(entry["id"], (host, port), cell, status, started)
 
 
 async def _read_frame(stream: IOStream) -> tuple[int, int, bytes]:
@@ -128,41 +140,49 @@
     """Follows the feed for as long as the program runs."""
 
     def __init__(
-        self, address: tuple[str, int], index: int, unix: UnixTime, tell: Callable[[ListTold], None]
-    ) -> None:
+        self, address: tuple[str, int], index: int, unix: UnixTime, tell: Callable[[ListTold], None],
+        chance: random.Random | None = None,
+    ) -> None:  # fmt: skip
         self._address, self._unix, self._tell = address, unix, tell
+        self._chance = chance or random.Random()  # never the settings' seed: all processes may have the same
         self.index = index
+        self._pause = RETRY_LEAST  # before the next connection, at most
         self._session: asyncio.Future[None] | None = None
 
     async def follow(self) -> None:
         """Connect, apply events in order, and connect again from the last one when the feed breaks."""
         while True:
-            session = self._session = asyncio.ensure_future(self._follow_one(self._address))
+            session = self._session = asyncio.ensure_future(self._session_and_pause(self._address))
             try:
                 await asyncio.wait([session])
             finally:
                 session.cancel()
-            if session.cancelled():  # it has moved: the new address is asked at once
-                continue
-            fault = session.exception()
-            said = str(fault) or type(fault).__name__
-            if isinstance(fault, FeedError):
-                log.info("coordinator_session_ended", **fault.told())
-            elif isinstance(fault, ConnectFailed | StreamClosedError | TimeoutError):
-                broken = FeedBroken(said, "{}:{}".format(*self._address))
-                log.info("coordinator_session_ended", **broken.told())
-            else:
-                log.error("coordinator_session_ended", fault=said, exc_info=fault)
-            await asyncio.sleep(RETRY_AFTER.total_seconds())
 
     def move(self, address: tuple[str, int]) -> None:
         """Go on at another address from the number reached, without awaiting the old one's last words."""
         if address == self._address:
             return
         log.info("coordinator_moved", before="%s:%d" % self._address, now="%s:%d" % address, index=self.index)
-        self._address = address
+        self._address, self._pause = address, RETRY_LEAST
         if self._session is not None:
-            self._session.cancel()
+            self._session.cancel()  # in its pause as well: the new address is asked at once
+
+    async def _session_and_pause(self, address: tuple[str, int]) -> None:
+        try:
+            await self._follow_one(address)
+        except FeedError as fault:
+            log.info("coordinator_session_ended", **fault.told())
+        except (ConnectFailed, StreamClosedError, OSError) as fault:  # a TimeoutError is one, too
+            broken = FeedBroken(str(fault) or type(fault).__name__, "{}:{}".format(*address))
+            log.info("coordinator_session_ended", **broken.told())
+        except Exception as fault:  # whatever an event has met in this program: the feed is not given up
+            log.error("coordinator_session_ended", exc_info=fault)
+        await asyncio.sleep(self.pause().total_seconds())
+
+    def pause(self) -> timedelta:
+        """How long to wait before the next connection; longer each time, until a frame has come."""
+        most, self._pause = self._pause, min(2 * self._pause, RETRY_MOST)
+        return most * (0.25 + 0.75 * self._chance.random())
 
     async def _follow_one(self, address: tuple[str, int]) -> None:
         stream = await open_stream(address, CONNECT_WITHIN, 2 * FRAME_MOST)
@@ -172,6 +192,8 @@
                 async with asyncio.timeout(SILENT_AFTER.total_seconds()):
                     number, kind, payload = await _read_frame(stream)
                 self.apply(number, kind, payload)
+                self._pause = RETRY_LEAST
+                await asyncio.sleep(0)  # frames that come without a pause leave the others their turn
         finally:
             stream.close()
 
@@ -184,5 +206,5 @@
         if kind == CHANGES and number != self.index + 1:
             raise FeedError(f"event {number} follows event {self.index}", f"frame {number}")
         servers = read_records(payload, self._unix)
-        self.index = number
         self._tell(ListTold(servers, kind == WHOLE))
+        self.index = number  # only now: an event that was not taken whole is asked for again
--- a/mallowquay/net/clock.py
+++ b/mallowquay/net/clock.py
@@ -8,6 +8,9 @@
 from tornado.ioloop import IOLoop
 
 from ..core.calls import Calls
+from ..core.model import Clock
+
+POINTS_MOST = 4096  # starts of log servers that are remembered as they were told
 
 
 def monotonic() -> timedelta:
@@ -15,20 +18,41 @@
     return timedelta(microseconds=time.monotonic_ns() // 1000)
 
 
+def wall_clock() -> timedelta:
+    """Time since 1970; may be set, and then steps."""
+    return timedelta(microseconds=time.time_ns() // 1000)
+
+
 class UnixTime:
-    """Turns Unix milliseconds into points of the monotonic clock; the offset is taken once."""
+    """Turns Unix milliseconds into points of the monotonic clock, by the wall clock of the moment.
 
-    def __init__(self) -> None:
-        self._offset = timedelta(microseconds=time.time_ns() // 1000) - monotonic()
+    What was told once has the same point ever after: a wall clock that steps makes no start a new one.
+    """
+
+    def __init__(self, wall: Clock = wall_clock, clock: Clock = monotonic) -> None:
+        self._wall, self._clock = wall, clock
+        self._points: dict[int, timedelta] = {}  # by what was told; the oldest first
+        self._told: dict[timedelta, int] = {}  # the other way round
 
     def point(self, unix_ms: int) -> timedelta | None:
         """The point on the monotonic clock; None for 0, a start long ago."""
-        return timedelta(milliseconds=unix_ms) - self._offset if unix_ms else None
-
+        if not unix_ms:
+            return None
+        point = self._points.get(unix_ms)
+        if point is None:
+            point = timedelta(milliseconds=unix_ms) - (self._wall() - self._clock())
+            if len(self._points) >= POINTS_MOST:
+                self._told.pop(self._points.pop(next(iter(self._points))), None)
+            self._points[unix_ms], self._told[point] = point, unix_ms
+        return point
 
     def milliseconds(self, point: timedelta | None) -> int:
         """The Unix milliseconds of a point that `point` gave."""
-        return 0 if point is None else round((point + self._offset) / timedelta(milliseconds=1))
+        if point is None:
+            return 0
+        told = self._told.get(point)
+        offset = self._wall() - self._clock()
+        return round((point + offset) / timedelta(milliseconds=1)) if told is None else told
 
 
 # A timer that is late by this much says that this process stood still, or had much to do.
--- a/mallowquay/net/http.py
+++ b/mallowquay/net/http.py
@@ -8,8 +8,10 @@
 from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream
 
+from .accepting import AcceptingServer
 
-class BoundedServer(HTTPServer):
+
+class BoundedServer(AcceptingServer, HTTPServer):
     """At its bound a newcomer is refused or, with `gives_way`, the connection that is open longest closes."""
 
     most = 32  # of the descriptors that settings.SOCKETS_KEPT keeps
--- a/mallowquay/net/streams.py
+++ b/mallowquay/net/streams.py
@@ -132,7 +132,11 @@
     address: tuple[str, int], within: timedelta, read_most: int = WRITE_BUFFER_MOST
 ) -> IOStream:
     """A new connection with bounded buffers, or ConnectFailed."""
-    stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), max_buffer_size=read_most)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as fault:  # no descriptor is left: nothing ran, and it may be tried again
+        raise ConnectFailed(Ending.CONNECTION_FAILED) from fault
+    stream = IOStream(sock, max_buffer_size=read_most)
     stream.max_write_buffer_size = WRITE_BUFFER_MOST
     try:
         await gen.with_timeout(within, stream.connect(address), quiet_exceptions=StreamClosedError)
--- a/mallowquay/settings/common.py
+++ b/mallowquay/settings/common.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 from math import isfinite
 from typing import Any
 
@@ -40,8 +41,10 @@
         module = read_settings(flatten(settings))
     except ValueError as fault:
         raise ConfigError(str(fault), "settings") from fault
+    sockets = granted(sockets)
     if sockets <= SOCKETS_KEPT:
-        raise ConfigError(f"limits.sockets must be above {SOCKETS_KEPT}", "limits.sockets")
+        least = f"limits.sockets, and what the system grants, must be above {SOCKETS_KEPT}, not {sockets}"
+        raise ConfigError(least, "limits.sockets")
     services = settings["services"]
     pools = [kind.pools for kind in module.classes if kind.pools is not None]
     numbers = frozenset().union(*pools) if len(pools) == len(module.classes) else None
@@ -56,6 +59,10 @@
             raise ConfigError(f"{key} holds no width: {width!r}", key)
         classes[name] = ClassConfig(index, name, kind.deadline * MICROSECOND, width, numbers)
     limits = want(settings, "limits", dict, "settings.")
+    dial = want(limits, "dialTimeout", int, "settings.limits.")
+    if not 0 <= dial <= SPAN_MOST:
+        key = "settings.limits.dialTimeout"
+        raise ConfigError(f"{key} must lie between 0 and {SPAN_MOST}, not {dial}", key)
     # Where callers may not be told when to come back, none is: neither a decided gap nor a usual one.
     longest_gap = module.max_retry_after * MICROSECOND
     return Config(
@@ -63,7 +70,7 @@
         terms=Terms(classes, _tenants(settings), min(AWAY_GAP, longest_gap)),
         seed=seed,
         release_wait=module.release_wait * MICROSECOND,
-        connect_timeout=want(limits, "dialTimeout", int, "settings.limits.") * MICROSECOND,
+        connect_timeout=dial * MICROSECOND,
         default_gap=longest_gap / 2,
         end_margin=END_MARGIN,
         guard_margin=GUARD_MARGIN,
@@ -75,6 +82,15 @@
     )
 
 
+def granted(sockets: int) -> int:
+    """As many descriptors as the file names, or as the system grants where that is less."""
+    try:
+        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    except OSError:  # where it may not be asked, the file is believed
+        return sockets
+    return sockets if limit == resource.RLIM_INFINITY else min(sockets, limit)
+
+
 def _tenants(settings: dict[str, Any]) -> dict[str, int]:
     """Places of the tenants, by name, as the module counts them."""
     told = want(settings, "tenants", list, "settings.") if settings.get("tenants") else []
--- a/mallowquay/settings/model.py
+++ b/mallowquay/settings/model.py
@@ -17,6 +17,7 @@
 # beyond its own margin: the event loop may lag
 GUARD_MARGIN = timedelta(milliseconds=10)  # and the guard of the core speaks so long before that end
 SOCKETS_KEPT = 64  # descriptors kept for log servers, the coordinator and the program itself
+SERVERS_KEPT = 24  # log servers for which that is enough; each more on the list takes one from callers
 DEFAULT_SOCKETS = 1024
 AWAY_GAP = timedelta(milliseconds=500)  # callers that are sent away come back so much later, elsewhere
 SPAN_MOST = 24 * 3600 * 1_000_000  # microseconds; no call waits for longer
@@ -222,6 +223,10 @@
     closings: tuple[ClosingConfig, ...] = ()
     keys: dict[str, str] = field(default_factory=dict)  # of the file, but for those of its lists, with kinds
 
+    def kept(self, servers: int) -> int:
+        """How many descriptors callers may not have while so many log servers are on the list."""
+        return SOCKETS_KEPT + max(servers - SERVERS_KEPT, 0)
+
     @property
     def classes(self) -> dict[str, ClassConfig]:
         """The classes of calls, by name."""
--- a/mallowquay/settings/platform.py
+++ b/mallowquay/settings/platform.py
@@ -24,7 +24,7 @@
             document = json.load(file)
     except OSError as fault:
         raise ConfigUnread(f"{path}: {fault.strerror}", "LB_CONFIG") from fault
-    except ValueError as fault:
+    except (ValueError, RecursionError) as fault:
         raise ConfigUnread(f"{path} is not JSON: {fault}", "LB_CONFIG") from fault
     return platform_config(document, environment)
 
@@ -42,14 +42,14 @@
         inherited=_descriptor(environment.get("LB_SOCKET_FD")),
         meeting=environment.get("TMPDIR"),
     )
-    limits = document.get("limits", {})
+    limits = want(document, "limits", dict) if "limits" in document else {}
     sockets = want(limits, "sockets", int, "limits.") if "sockets" in limits else DEFAULT_SOCKETS
     settings = want(document, "settings", dict)
     control = environment.get("LB_CONTROL") or document.get("control")
     return replace(
         common(settings, read_seed(document.get("seed", "0")), sockets, platform=platform),
         control=None if control is None else address(control, "control"),
-        traffic=_platform_traffic(document["traffic"]) if "traffic" in document else None,
+        traffic=_platform_traffic(want(document, "traffic", dict)) if "traffic" in document else None,
         keys=dict(keys_of({key: value for key, value in document.items() if key != "known"})),
     )
 
--- a/rigs/process.py
+++ b/rigs/process.py
@@ -100,8 +100,9 @@
         return code
 
     def text(self) -> str:
-        self.log.seek(0)
-        return self.log.read().decode()
+        # Never by a seek: the program writes at the same offset, and would write over what it has said.
+        log = self.log.fileno()
+        return os.pread(log, os.fstat(log).st_size, 0).decode()
 
 
 def connect(port: int) -> socket.socket:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -384,7 +384,7 @@
         _, silent = await self.connected()
         self.skew = platform_front.NEW_FOR
         first.sendall(INVITE.format("00000000000000c3", 0).encode())  # unread
-        self.assertTrue(self.front._make_room())
+        self.assertTrue(self.front.make_room())
         self.assertTrue(silent.stream.closed())
         self.assertFalse(speaks.stream.closed())
         await self.until(lambda: self.side.begun)
@@ -394,7 +394,7 @@
         _, silent = await self.connected()
         self.skew = platform_front.NEW_FOR
         invite = INVITE.format("00000000000000c4", 0).encode()
-        await self.read_and_not_taken(first, invite, self.front._make_room)
+        await self.read_and_not_taken(first, invite, self.front.make_room)
         self.assertTrue(silent.stream.closed())
         await self.until(lambda: self.side.begun)
         self.assertFalse(speaks.stream.closed())
