--- a/mallowquay/service.py
+++ b/mallowquay/service.py
@@ -178,25 +178,14 @@
             assembly.end()
 
 
-async def serve(settings: Config, read: Callable[[], Config], noted: list[int]) -> None:
-    """Run until SIGTERM or SIGINT has been carried out; `read` reads the configuration anew.
-
-    `noted`: signals that came while the file was read; what comes until all is open is carried out then.
-    """
+async def serve(settings: Config, read: Callable[[], Config]) -> None:
+    """Run until SIGTERM or SIGINT has been carried out; `read` reads the configuration anew."""
     program = Program(settings)
     loop = asyncio.get_running_loop()
-    acts: dict[int, Callable[[], None]] = {
-        signal.SIGHUP: partial(program.reload, read),
-        signal.SIGTERM: program.stop,
-        signal.SIGINT: program.stop,
-    }
-    for number in acts:
-        loop.add_signal_handler(number, noted.append, number)
+    loop.add_signal_handler(signal.SIGHUP, program.reload, read)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, program.stop)
     await program.start()
-    for number, act in acts.items():
-        loop.add_signal_handler(number, act)
-    for number in dict.fromkeys(noted):
-        acts[number]()
     log.info("serving", **program.heart.addresses)  # last: whoever reads it finds every address open
     gc.collect()
     gc.freeze()  # what stands from the start is never looked through again: shorter pauses
@@ -207,8 +196,7 @@
 
 def run(arguments: Sequence[str]) -> int:
     """Serve until asked to end; `arguments`: the operator's file, or nothing. The exit code comes back."""
-    noted: list[int] = []  # a SIGHUP as the file is read means that it may be an old one by now
-    signal.signal(signal.SIGHUP, lambda number, frame: noted.append(number))
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it means a new file, and the file is yet to be read
     read = partial(configuration.of_process, arguments, os.environ)
     try:
         settings = read()
@@ -216,7 +204,7 @@
         print(f"mallowquay: configuration: {fault}\n{fault.advice()}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(settings, read, noted))
+        asyncio.run(serve(settings, read))
     except ConfigError as fault:
         print(f"mallowquay: configuration: {fault}\n{fault.advice()}", file=sys.stderr)
         return 2
