End a process and hand it over so that what is owed at that instant is settled

Seventeen causes, each by a test in tests/test_crossings_exit.py (16 of 18 fail on the version before; guards were taken out for the others): SIGTERM during the start never ended (settled without a front raised in _look); SIGHUP during the start was lost; a SIGTERM before the successor's `serves` never ended; ECONNRESET on the twin's wire threw away packets that came before; a connection whose wire died in `send` counted as handed; a receiver without descriptors never told; ETOOMANYREFS closed the wire; word between `state` and the front was dropped, so an id could be answered twice; a successor left while answers of the one before go through it; connections were handed to one that ends; its death during the handover left nobody listening; a BYE that crossed the close there was dropped; a set-up was taken and dispatched after the last look; a caller that never reads held the handover for ever (now 2 s once nothing is owed); after a standstill it ended with requests unread; a signal after the end made it a death by it; state of another version stopped the start. Not mended: a CANCEL or BYE that reaches the successor before the other's `taken`; a successor killed after the handover. 59 tests of exit, feed, upgrade, twin and operation pass, with the front's honest `settled()`.

--- a/mallowquay/assembly/base.py
+++ b/mallowquay/assembly/base.py
@@ -35,12 +35,19 @@
     def stop(self) -> None:
         """SIGTERM: begin to end; nothing is cut off yet."""
 
+    def owes(self) -> bool:
+        """Whether another process still awaits something that goes through this one."""
+        return False
+
     def settled(self, quiet_since: timedelta) -> bool:
-        """Whether the program may end as far as this concern goes; nobody came since `quiet_since`."""
+        """Whether the program may end as far as this concern goes.
+
+        Nobody came, and no call was owed anything, since `quiet_since`.
+        """
         return True
 
     def end(self) -> None:
-        """The program ends now."""
+        """The program ends now, in this turn of the loop."""
 
     def figures(self) -> Mapping[str, Any]:
         """What it adds to the figures of the second address."""
--- a/mallowquay/assembly/platform.py
+++ b/mallowquay/assembly/platform.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from contextlib import suppress
 from datetime import timedelta
 from functools import partial
 
@@ -21,6 +22,10 @@
 log = structlog.get_logger(part=__name__)
 
 BACKLOG = 512
+UNUSABLE = (KeyError, TypeError, ValueError, AttributeError)  # what reading a document of others may raise
+# Once nothing is owed any more, what is written has so long to leave: releases are due within 1 s, and a peer
+# that never reads must not hold the exit.
+WRITTEN_WITHIN = timedelta(seconds=2)
 
 
 class PlatformAssembly(Assembly):
@@ -56,21 +61,28 @@
         servers.stray_ended = front.stray_ended
         unix = UnixTime()
         calls.opened, calls.closed = twin.taken, twin.over
-        calls.came_to_stand = lambda call: twin.send("stands", **front.handover.tell_standing(call))
+        calls.came_to_stand = front.handover.stands
         front.listed = lambda server: server in servers.servers
         told = partial(heart.told, side=servers.list_told)
         try:
             index, events = read_known(platform.known, unix)
-            before = twin.state
-            if before is not None and before["index"] >= index:
-                index, events = before["index"], [read_servers(before["servers"], unix)]
-        except (KeyError, TypeError, ValueError, AttributeError) as fault:
+        except UNUSABLE as fault:
             raise ConfigError(f"{type(fault).__name__}: {fault}", "known") from fault
+        before = twin.state
+        if before is not None:
+            try:
+                front.answered.add_all(before["answered"])
+                if before["index"] >= index:
+                    index, events = before["index"], [read_servers(before["servers"], unix)]
+            except UNUSABLE as fault:  # another version may say other things
+                log.error("state_before_unusable", fault=f"{type(fault).__name__}: {fault}")
         for event in events:
             told(event)
         if before is not None:
-            heart.decisions.remember(before["module"])
-            front.answered.add_all(before["answered"])
+            try:
+                heart.decisions.remember(before["module"])
+            except UNUSABLE as fault:
+                log.error("memory_before_unusable", fault=f"{type(fault).__name__}: {fault}")
         self.coordinator = Coordinator(platform.coordinator, index, unix, told)
         servers.spawn(self.coordinator.follow())
         host, port = platform.listen
@@ -88,6 +100,8 @@
             "standing": [front.handover.tell_standing(call) for call in calls.standing()],
             "answered": front.answered.ids(),
         }
+        twin.serves = self._give_way
+        twin.catch_up()
         twin.send("serves")
         heart.addresses = {"name": platform.name, "at": f"{host}:{port}"}
 
@@ -105,20 +119,56 @@
         self.front.retune(settings.terms)
 
     def stop(self) -> None:
-        """A successor takes the connections."""
+        """A successor takes the connections; one that ends is handed none."""
         self.twin.closing = True
         if self.twin.succeeded:
+            self._give_way()
+        else:
+            self.twin.send("stops")
+
+    def _give_way(self) -> None:
+        """Hand over what is here, once this process is to end and its successor serves, in either order."""
+        if self.twin.closing and self._handing is None:
             log.info("successor_takes_connections")
+            kept: list[socket.socket] = []
+            with suppress(OSError):  # no descriptor is left: then nobody listens should the successor go
+                kept += [sock.dup() for sock in self.listeners]
             self.front.stop()
-            self._handing = asyncio.ensure_future(self.front.handover.hand_over())
+            self._handing = asyncio.ensure_future(self._hand_over(kept))
 
-    def settled(self, quiet_since: timedelta) -> bool:
-        """Callers have come for as long as they may, or are the successor's."""
+    async def _hand_over(self, kept: list[socket.socket]) -> None:
+        await self.front.handover.hand_over()
         if self.twin.succeeded:
-            quiet = self._handing is not None and self._handing.done() and self.twin.settled
+            for sock in kept:
+                sock.close()
+        else:  # the successor has gone on the way, and callers still come
+            self.listeners = kept
+            self.front.add_sockets(kept)
+
+    def owes(self) -> bool:
+        """What the other process is to hear, and answers of its calls that are written here."""
+        return not self.twin.settled or self.front.handover.carries
+
+    def settled(self, quiet_since: timedelta) -> bool:
+        """Callers have come for as long as they may, or are the successor's; what they are owed has left."""
+        now = monotonic()
+        if now >= quiet_since + WRITTEN_WITHIN:
+            return True
+        if self.twin.succeeded and self._handing is not None:
+            quiet = self._handing.done()
         else:
-            quiet = monotonic() >= quiet_since
-        return quiet and self.front.settled()
+            quiet = now >= quiet_since
+        return quiet and self.front.settled() and self.servers.settled()
+
+    def end(self) -> None:
+        """Nothing more is read from callers."""
+        for sock in self.listeners:
+            if sock.fileno() >= 0:
+                self._heart.loop.remove_handler(sock)
+                sock.close()
+        for connection in list(self.front.connections):
+            connection.closing = True  # what has been read and is not taken yet would have no one to end it
+            connection.stream.close()
 
 
 def inherited_listener(descriptor: int, address: tuple[str, int]) -> socket.socket:
--- a/mallowquay/fronts/platform/handover.py
+++ b/mallowquay/fronts/platform/handover.py
@@ -17,7 +17,8 @@
 from ...net.tasks import Tasks
 from ...operation.twin import Packet, Twin
 from ..recent import Recent
-from ..statuses import release_ending
+from ..sip.message import parse, q850_cause
+from ..statuses import NORMAL_CLEARING, release_ending
 from .connection import Connection
 
 MICROSECOND = timedelta(microseconds=1)
@@ -86,6 +87,11 @@
         both = most - kept  # each keeps as many for itself
         return max(both if self._succeeds else both // 2, PLACES_LEAST)
 
+    @property
+    def carries(self) -> bool:
+        """Whether calls of the process before are open on connections that are here now."""
+        return any(connection.elsewhere for connection in self._adopted.values())
+
     # --- the process that ends
 
     async def hand_over(self) -> None:
@@ -103,9 +109,11 @@
         stream, buffer = connection.stream, connection.buffer
         if not stream.reading() or stream.writing() or stream.closed():
             return  # in a moment
+        if not self.twin.settled:
+            return  # the successor has yet to read those before: what waits for it is bounded, and it may die
         key = self._next_key = self._next_key + 1
         since = connection.waiting_since
-        self.twin.send(
+        if not self.twin.send(
             "connection",
             stream.socket.fileno(),
             key=key,
@@ -114,11 +122,11 @@
             spoke=connection.spoke,
             bad=connection.bad,
             waiting=None if since is None else since // MICROSECOND,
-        )
+        ):
+            return  # the successor has gone, and has not got it: it stays here, with its calls
 
         def write(parts: list[bytes]) -> bool:
-            self.twin.send("write", key=key, data=base64.b64encode(b"".join(parts)).decode())
-            return True
+            return self.twin.send("write", key=key, data=base64.b64encode(b"".join(parts)).decode())
 
         connection.handed = write
         self._handed[key] = connection
@@ -156,8 +164,13 @@
 
     def _write(self, told: Packet) -> None:
         connection = self._adopted.get(told["key"])
-        if connection is not None:
-            connection.write([base64.b64decode(told["data"])])
+        data = base64.b64decode(told["data"])
+        if connection is not None and connection.write([data]):
+            return
+        message, _ = parse(bytearray(data), 0, len(data))
+        if message is not None and message.method == "BYE":  # it crossed the close: any connection will do
+            cause = q850_cause(message.get("Reason"), NORMAL_CLEARING)
+            self._front.send_release(message.get("Call-ID"), message.uri, cause)
 
     # --- either
 
@@ -172,6 +185,10 @@
         if call is not None and call.state is CallState.STANDING and call.attempt is not None:
             self._calls.ended(call.attempt, release_ending(told["cause"]))
 
+    def stands(self, call: Call) -> None:
+        """A call has come to stand here."""
+        self.twin.send("stands", **self.tell_standing(call))
+
     def tell_standing(self, call: Call) -> Packet:
         """What the other process is to know of a call that stands, should this one end before it."""
         assert call.attempt is not None
--- a/mallowquay/operation/twin.py
+++ b/mallowquay/operation/twin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import socket
@@ -14,16 +15,24 @@
 import structlog
 from tornado.ioloop import IOLoop
 
+from ..net.clock import monotonic
+from ..net.seldom import Seldom
+
 log = structlog.get_logger(part=__name__)
 
 PIECE_MOST = 64 * 1024  # a longer packet goes in pieces
 WAITING_MOST = 8 * 1024 * 1024  # bytes that the other process has yet to read; then it is taken as dead
 PACKETS_AT_ONCE = 64  # then other work gets its turn
 DESCRIPTORS_MOST = 4
+EARLY_MOST = 1024  # packets between the other's state and the own front: a few turns of the loop
 MEET_WITHIN = timedelta(seconds=2)
 PATH_MOST = 100  # a Unix socket's name has room for 108 bytes
 LAST, MORE = b".", b"+"  # the first byte of a piece
 
+GONE = {errno.EPIPE, errno.ECONNRESET}
+CROWDED = {errno.ETOOMANYREFS, errno.ENOBUFS, errno.ENOMEM}  # for a moment: other upgrades have filled it
+SEND_AGAIN = timedelta(milliseconds=20)
+
 Packet = dict[str, Any]
 
 
@@ -42,29 +51,37 @@
         self._waiting_bytes = 0
         self._text, self._descriptors = bytearray(), list[int]()
         self.alive = True
+        self._again: object | None = None  # the timer of what is sent again
+        self._warn_kept = Seldom(log, monotonic)
+        self._deaf = False  # the other process has gone, and what it sent before is yet to be read
         sock.setblocking(False)
         loop.add_handler(sock, self._ready, IOLoop.READ)
 
     @property
     def settled(self) -> bool:
         """Whether all that was sent has left."""
-        return not self.alive or not self._waiting
+        return not self._waiting
 
-    def send(self, packet: Packet, descriptor: int | None = None) -> None:
-        """Send a packet; the descriptor is copied and may be closed at once."""
-        if not self.alive:
-            return
+    def send(self, packet: Packet, descriptor: int | None = None) -> bool:
+        """Send a packet; the descriptor is copied and may be closed at once. False: it does not leave."""
+        if not self.alive or self._deaf:
+            return False
+        try:
+            copy = None if descriptor is None else os.dup(descriptor)
+        except OSError as fault:  # no descriptor is left for the copy
+            self._warn_kept.warning("twin_descriptor_not_copied", fault=str(fault))
+            return False
         text = json.dumps(packet, separators=(",", ":")).encode()
         pieces = [text[at : at + PIECE_MOST] for at in range(0, len(text), PIECE_MOST)]
         for number, piece in enumerate(pieces, 1):
             last = number == len(pieces)
-            copy = os.dup(descriptor) if last and descriptor is not None else None
-            self._waiting.append(((LAST if last else MORE) + piece, copy))
+            self._waiting.append(((LAST if last else MORE) + piece, copy if last else None))
             self._waiting_bytes += len(piece)
         self._write()
         if self._waiting_bytes > WAITING_MOST:
             log.error("twin_does_not_read")
             self.close()
+        return self.alive and not self._deaf
 
     def _write(self) -> None:
         try:
@@ -80,14 +97,27 @@
         except BlockingIOError:
             pass
         except OSError as fault:
+            if fault.errno in CROWDED:  # nothing says when there is room again
+                self._loop.update_handler(self._sock, IOLoop.READ)
+                if self._again is None:
+                    self._again = self._loop.add_timeout(SEND_AGAIN, self._write_again)
+                return
             log.info("twin_connection_lost", fault=str(fault))
-            self.close()
-            return
+            if fault.errno not in GONE:
+                self.close()
+                return
+            self._leave_unsent()
         self._loop.update_handler(self._sock, IOLoop.READ | (IOLoop.WRITE if self._waiting else 0))
 
+    def _write_again(self) -> None:
+        self._again = None
+        if self.alive:
+            self._write()
+
     def _ready(self, sock: object, events: int) -> None:
         if events & IOLoop.WRITE:
             self._write()
+        failed = False
         for _ in range(PACKETS_AT_ONCE):
             if not self.alive:
                 return
@@ -95,7 +125,11 @@
                 data, descriptors, _, _ = socket.recv_fds(self._sock, PIECE_MOST + 1, DESCRIPTORS_MOST)
             except BlockingIOError:
                 return
-            except OSError:
+            except OSError as fault:  # told once, ahead of what the other sent before it went
+                if fault.errno in GONE and not failed:
+                    failed = True
+                    self._leave_unsent()
+                    continue
                 data, descriptors = b"", []
             self._descriptors += descriptors
             if not data:
@@ -120,11 +154,19 @@
         self.alive = False
         self._loop.remove_handler(self._sock)
         self._sock.close()
-        for descriptor in self._descriptors + [copy for _, copy in self._waiting if copy is not None]:
+        self._leave_unsent()
+        for descriptor in self._descriptors:
             os.close(descriptor)
-        self._waiting.clear()
         self._lost()
 
+    def _leave_unsent(self) -> None:
+        self._deaf = True
+        for _, copy in self._waiting:
+            if copy is not None:
+                os.close(copy)
+        self._waiting.clear()
+        self._waiting_bytes = 0
+
 
 class Twin:
     """The other process of an upgrade, for as long as it lives; what the two tell each other."""
@@ -139,6 +181,8 @@
         self.state: Packet | None = None  # what the process before had to tell
         self.tells: Callable[[], Packet] = dict
         self.takes: dict[str, Callable[[Packet], None]] = {}  # by the kind of packet
+        self._early: deque[Packet] | None = deque(maxlen=EARLY_MOST)  # came before the front was up
+        self.serves: Callable[[], None] = lambda: None  # the other one is younger, and serves from now on
         self.connection: Callable[[Packet, int], None] = lambda packet, descriptor: os.close(descriptor)
         self.met: Callable[[], None] = lambda: None
         self.gone: Callable[[], None] = lambda: None
@@ -155,10 +199,9 @@
         """Whether all that was said has left."""
         return self._wire is None or self._wire.settled
 
-    def send(self, kind: str, descriptor: int | None = None, **values: Any) -> None:
-        """Tell the other process, if there is one."""
-        if self._wire is not None:
-            self._wire.send({"t": kind, **values}, descriptor)
+    def send(self, kind: str, descriptor: int | None = None, **values: Any) -> bool:
+        """Tell the other process, if there is one; False: it will not hear of it."""
+        return self._wire is not None and self._wire.send({"t": kind, **values}, descriptor)
 
     async def meet(self, folder: str, name: str) -> None:
         """Find the process before and hear its state, or be the first."""
@@ -221,7 +264,10 @@
         if kind == "connection":
             for descriptor in descriptors[1:]:
                 os.close(descriptor)
-            self.connection(packet, descriptors[0])
+            if descriptors:
+                self.connection(packet, descriptors[0])
+            else:  # there was no room for one more here: it is lost, and so is its caller
+                self.send("closed", key=packet["key"])
             return
         for descriptor in descriptors:
             os.close(descriptor)
@@ -236,6 +282,9 @@
         elif kind == "serves":
             log.info("successor_serves")
             self.succeeded = True
+            self.serves()
+        elif kind == "stops":
+            self.succeeded = False  # whoever ends itself is handed nothing
         elif kind == "taken":
             self.ids.add(packet["id"])
         elif kind == "stands":
@@ -243,10 +292,21 @@
         elif kind == "over":
             self.ids.discard(packet["id"])
             self.standing.pop(packet["id"], None)
-            if kind in self.takes:  # the front may be yet to come up
-                self.takes[kind](packet)
-        elif kind in self.takes:
-            self.takes[kind](packet)
+            self._pass_on(packet)
+        else:
+            self._pass_on(packet)
+
+    def _pass_on(self, packet: Packet) -> None:
+        if self._early is not None:
+            self._early.append(packet)
+        elif packet["t"] in self.takes:
+            self.takes[packet["t"]](packet)
+
+    def catch_up(self) -> None:
+        """The front is up: it hears what has come since the other told its state."""
+        early, self._early = self._early or (), None
+        for packet in early:
+            self._pass_on(packet)
 
     def _lost(self) -> None:
         """It has ended or died: this one goes on alone."""
--- a/mallowquay/service.py
+++ b/mallowquay/service.py
@@ -29,6 +29,8 @@
 STOP_ACCEPTS = timedelta(milliseconds=750)  # after SIGTERM new connections and requests come for so long
 STOP_STAYS = timedelta(seconds=30)  # and calls that stand are seen to their end for so long at most
 STOP_LOOKS = timedelta(milliseconds=20)
+STOOD_STILL = timedelta(milliseconds=200)  # a look so late: what came meanwhile is yet to be read
+SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
 
 class Program:
@@ -38,8 +40,13 @@
         self.heart = Heart(settings)
         self.done = asyncio.Event()
         self.stopped_at: timedelta | None = None
+        self._looked_at = monotonic() - STOOD_STILL  # whether it may end
+        self._owed_at = self._looked_at  # something was owed, as far as was looked
+        self._starting: asyncio.Future[None] | None = None
+        self._read_after: Callable[[], Config] | None = None  # SIGHUP came during the start
         self.reloads = self.reload_errors = 0
-        self.assemblies = self._chosen(settings)
+        self._planned = self._chosen(settings)
+        self.assemblies: list[Assembly] = []  # those that have started: nobody asks anything of the others
 
     def _chosen(self, settings: Config) -> list[Assembly]:
         """What the file sets up, in the order of the start; only that is loaded."""
@@ -109,14 +116,29 @@
         return chosen
 
     async def start(self) -> None:
-        """Start all, one after the other. Errors: ConfigError, OSError."""
-        for assembly in self.assemblies:
+        """Start all, one after the other, unless SIGTERM comes first. Errors: ConfigError, OSError."""
+        starting = self._starting = asyncio.ensure_future(self._start())
+        await asyncio.wait([starting])
+        self._starting = None
+        if not starting.cancelled():
+            starting.result()
+        if self._read_after is not None:
+            self.reload(self._read_after)
+        if self.stopped_at is not None:
+            self._wind_down()
+
+    async def _start(self) -> None:
+        for assembly in self._planned:
             await assembly.start()
+            self.assemblies.append(assembly)
         for assembly in self.assemblies:
             assembly.admit()
 
     def reload(self, read: Callable[[], Config]) -> None:
         """SIGHUP: take from a new file what can change under calls; one that is faulty changes nothing."""
+        if self._starting is not None:  # only what has started can take it
+            self._read_after = read
+            return
         heart = self.heart
         try:
             settings = read()
@@ -157,18 +179,31 @@
         log.info("stopping", unanswered=self.heart.calls.unanswered)
         self.stopped_at = monotonic()
         self.heart.operation.stop()
+        if self._starting is None:
+            self._wind_down()
+        else:  # whatever its start waits for may take longer than it is given to end
+            self._starting.cancel()
+
+    def _wind_down(self) -> None:
         for assembly in self.assemblies:
             assembly.stop()
         self._look()
 
     def _look(self) -> None:
         assert self.stopped_at is not None
-        calls = self.heart.calls
-        quiet_since = max(self.stopped_at + STOP_ACCEPTS, calls.last_offer + STOP_LOOKS)
+        now, calls = monotonic(), self.heart.calls
         # Whoever sends the end of a call that stands is to find this process, which knows its other side.
-        owed = calls.unanswered if monotonic() >= self.stopped_at + STOP_STAYS else calls.pending
-        if owed == 0 and all(assembly.settled(quiet_since) for assembly in self.assemblies):
+        if now >= self.stopped_at + STOP_STAYS:
+            owed = calls.unanswered > 0
+        else:
+            owed = calls.pending > 0 or any(assembly.owes() for assembly in self.assemblies)
+        if owed or now - self._looked_at >= STOOD_STILL:
+            self._owed_at = now
+        self._looked_at = now
+        quiet_since = max(self.stopped_at + STOP_ACCEPTS, calls.last_offer + STOP_LOOKS, self._owed_at)
+        if not owed and all(assembly.settled(quiet_since) for assembly in self.assemblies):
             self.done.set()
+            self.end()  # in this turn of the loop: a call that is taken after this look has no one to end it
         else:
             self.heart.loop.add_timeout(STOP_LOOKS, self._look)
 
@@ -178,25 +213,33 @@
             assembly.end()
 
 
-async def serve(settings: Config, read: Callable[[], Config]) -> None:
-    """Run until SIGTERM or SIGINT has been carried out; `read` reads the configuration anew."""
+async def serve(settings: Config, read: Callable[[], Config], hung_up: Callable[[], bool]) -> None:
+    """Run until SIGTERM or SIGINT has been carried out.
+
+    `read` reads the configuration anew; `hung_up`: whether SIGHUP came before this: `settings` may be old.
+    """
     program = Program(settings)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, program.reload, read)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, program.stop)
     await program.start()
-    log.info("serving", **program.heart.addresses)  # last: whoever reads it finds every address open
+    if hung_up():
+        program.reload(read)
+    if program.stopped_at is None:
+        log.info("serving", **program.heart.addresses)  # last: whoever reads it finds every address open
     gc.collect()
     gc.freeze()  # what stands from the start is never looked through again: shorter pauses
     await program.done.wait()
-    program.end()
+    # It has ended as asked: one more signal, once the loop lets go of them, would make that a death by it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     log.info("stopped", unreadable=program.heart.unreadable())
 
 
 def run(arguments: Sequence[str]) -> int:
     """Serve until asked to end; `arguments`: the operator's file, or nothing. The exit code comes back."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it means a new file, and the file is yet to be read
+    hang_ups: list[int] = []  # each means a new file, which may have been written after this one is read
+    signal.signal(signal.SIGHUP, lambda number, frame: hang_ups.append(number))
     read = partial(configuration.of_process, arguments, os.environ)
     try:
         settings = read()
@@ -204,7 +247,7 @@
         print(f"mallowquay: configuration: {fault}\n{fault.advice()}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(settings, read))
+        asyncio.run(serve(settings, read, lambda: bool(hang_ups)))
     except ConfigError as fault:
         print(f"mallowquay: configuration: {fault}\n{fault.advice()}", file=sys.stderr)
         return 2
