Pass the end of a call on to the other process before its word of the call has come

Cause: of two processes of an upgrade, the one that has a caller's connection answered 481 to a CANCEL, and spread a BYE to all log servers, when it came ahead of the other's `taken` (front.py, cancel and caller_released asked the known ids alone), so an attempt could begin for a caller that had cancelled. Now what is unknown here goes to the other one while it lives, and what is unknown to both is not sent back. The test fails with the mend out, and with the mark out (a packet sent back and forth). Nothing changes where there is one process.

--- a/mallowquay/fronts/platform/front.py
+++ b/mallowquay/fronts/platform/front.py
@@ -474,11 +474,15 @@
         self._reply(connection, message, 200 if known else 481)
         self.cancel(call_id)
 
-    def cancel(self, call_id: str) -> None:
-        """A caller gives a set-up up, here or in the other process."""
+    def _elsewhere(self, call_id: str, passed_on: bool) -> bool:
+        """Whether the other process may hold a call that is unknown here; word of it may be on the way."""
+        return not passed_on and (call_id in self._twin.ids or self._twin.alive)
+
+    def cancel(self, call_id: str, passed_on: bool = False) -> None:
+        """A caller gives a set-up up, here or in the other process; `passed_on` by that one."""
         call = self._calls.get(call_id)
         if call is None:
-            if call_id in self._twin.ids:
+            if self._elsewhere(call_id, passed_on):
                 self._twin.send("cancel", id=call_id)
             return
         self.over.add(call_id)
@@ -493,14 +497,14 @@
         self._reply(connection, message, 200)
         self.caller_released(call_id, cause)
 
-    def caller_released(self, call_id: str, cause: int) -> None:
-        """A caller ends a call that stands, here or in the other process."""
+    def caller_released(self, call_id: str, cause: int, passed_on: bool = False) -> None:
+        """A caller ends a call that stands, here or in the other process; `passed_on` by that one."""
         call = self._calls.get(call_id)
         if call is not None and self._calls.caller_released(call_id, cause):
             self.over.add(call_id)
             if isinstance(call.caller, PlatformCaller):
                 call.caller.ended(call)
-        elif call is None and call_id in self._twin.ids:
+        elif call is None and self._elsewhere(call_id, passed_on):
             self._twin.send("bye", id=call_id, cause=cause)
         elif not self.over.holds(call_id) and call is None:
             # It may stand since before this process started.
--- a/mallowquay/fronts/platform/handover.py
+++ b/mallowquay/fronts/platform/handover.py
@@ -48,10 +48,10 @@
     def adopt_call(self, told: Packet, connection: Connection | None) -> None:
         """A call stood in the process before, which has ended."""
 
-    def cancel(self, call_id: str) -> None:
+    def cancel(self, call_id: str, passed_on: bool = False) -> None:
         """A caller gives a set-up up."""
 
-    def caller_released(self, call_id: str, cause: int) -> None:
+    def caller_released(self, call_id: str, cause: int, passed_on: bool = False) -> None:
         """A caller ends a call that stands."""
 
     def send_release(self, call_id: str, uri: str, cause: int, first: Connection | None = None) -> None:
@@ -74,8 +74,8 @@
             closed=lambda told: self._closed_there(told["key"]),
             over=lambda told: self._over_there(told["id"]),
             answered=lambda told: front.answered.add_all(told["ids"]),
-            cancel=lambda told: front.cancel(told["id"]),
-            bye=lambda told: front.caller_released(told["id"], told["cause"]),
+            cancel=lambda told: front.cancel(told["id"], passed_on=True),
+            bye=lambda told: front.caller_released(told["id"], told["cause"], passed_on=True),
             down=self._ended_here,
             release=lambda told: front.send_release(told["id"], told["uri"], told["cause"]),
         )
--- a/tests/test_crossings_exit.py
+++ b/tests/test_crossings_exit.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import copy
 import base64
+import copy
 import json
 import os
 import signal
@@ -31,7 +31,7 @@
 from mallowquay.net.clock import monotonic
 from mallowquay.operation.twin import Packet, Twin, Wire
 
-ONCE = "00000000000000a1"
+ONCE, TWICE = "00000000000000a1", "00000000000000a2"
 
 
 class StandIn:
@@ -83,6 +83,22 @@
         self.assertEqual(program.process.wait(WAIT), 0, program.text())
         self.assertNotIn("serving", program.text())
 
+    def test_the_end_of_a_call_ahead_of_the_word_that_it_was_taken(self) -> None:
+        """Term: no attempt begins for a caller that cancelled over 0.1 s ago, in either process."""
+        _, first = self.begin()
+        first.say("state", ids=[], standing=[], answered=[], index=0, servers=[], module={})
+        first.read("serves")
+        caller = Caller(self.port)
+        for method, word in (("CANCEL", "cancel"), ("BYE", "bye")):
+            caller.send(method, ONCE)
+            caller.read()
+            self.assertEqual(first.read(word)["id"], ONCE)
+        first.say("cancel", id=ONCE)  # what is unknown to both is not sent back and forth
+        first.say("bye", id=ONCE, cause=16)
+        for method, word in (("CANCEL", "cancel"), ("BYE", "bye")):
+            caller.send(method, TWICE)
+            self.assertEqual(first.read(word)["id"], TWICE)
+
     def test_sighup_before_it_serves(self) -> None:
         """Term: a new file at SIGHUP is taken whole, also one that comes during the start."""
         program, first = self.begin()
