Name the rate-limited logger and the set of ids seen recently by the field's words

`Seldom` is `RateLimitedLogger` (net/rate_limited.py), `Recent` is `RecentlySeen` (fronts/recently_seen.py). No configuration key, log key or wire name changes.

--- a/mallowquay/controlplane/streams.py
+++ b/mallowquay/controlplane/streams.py
@@ -19,7 +19,7 @@
 
 from ..core.model import Clock
 from ..errors import NotStarted
-from ..net.seldom import Seldom
+from ..net.rate_limited import RateLimitedLogger
 from .snapshot import KINDS, Kind, Snapshot
 from .subscriptions import Ask, Delta, Lease, Response, TooMuch, World
 
@@ -66,7 +66,7 @@
         self.snapshot = Snapshot(0, 0)
         self.streams: set[Stream] = set()
         self.counts = Counts()
-        self._warn_ended = Seldom(log, clock)
+        self._warn_ended = RateLimitedLogger(log, clock)
         self._turn = timedelta(0)  # when the next new stream may have its first response
 
     def publish(self, snapshot: Snapshot) -> None:
--- a/mallowquay/copies/node.py
+++ b/mallowquay/copies/node.py
@@ -20,7 +20,7 @@
 from ..errors import Fault
 from ..fleet.model import Garbled, Life
 from ..fleet.node import Node
-from ..net.seldom import Seldom
+from ..net.rate_limited import RateLimitedLogger
 from .machine import Adopted, Batch, Copies, CopyTerms
 from .model import decode, encode
 from .store.journal import Journal, JournalFailed
@@ -51,7 +51,7 @@
         self._ended = False
         self._waiting: deque[tuple[int, Callable[[bool], None]]] = deque()
         self._scrub, self._scrub_at = scrub, clock() + scrub
-        self._seldom = Seldom(log, clock)
+        self._rate_limited = RateLimitedLogger(log, clock)
         self._chance = random.Random()
         self.owners: dict[
             str, Callable[[Adopted], None]
@@ -156,7 +156,7 @@
         except msgspec.DecodeError as fault:
             self.unreadable += 1
             garbled = Garbled(str(fault), CHANNEL)
-            self._seldom.warning("copies_message_not_read", member=name, **garbled.told())
+            self._rate_limited.warning("copies_message_not_read", member=name, **garbled.told())
             return
         copies.heard(self._clock(), name, message)
         self._pump()
@@ -196,7 +196,7 @@
             fault = future.exception()
             if fault is not None:
                 known = fault if isinstance(fault, Fault) else JournalFailed(str(fault), str(self._folder))
-                self._seldom.warning("copies_disk_failed", **known.told())
+                self._rate_limited.warning("copies_disk_failed", **known.told())
                 self._loop.add_timeout(DISK_AGAIN, self._write_anew, batch)
                 return
             self._writing = False
--- a/mallowquay/fleet/links.py
+++ b/mallowquay/fleet/links.py
@@ -26,7 +26,7 @@
 from tornado.util import TimeoutError as TornadoTimeout
 
 from ..core.model import Clock
-from ..net.seldom import Seldom
+from ..net.rate_limited import RateLimitedLogger
 from ..net.streams import ConnectFailed, open_stream, quiet
 from ..net.tasks import Tasks
 from .model import (
@@ -182,7 +182,7 @@
         self._dialling: dict[str, int] = {}  # to the generation of the dialler
         self._generation = 0
         self._ungreeted: dict[IOStream, None] = {}
-        self._seldom = Seldom(log, clock)
+        self._rate_limited = RateLimitedLogger(log, clock)
         self._closed = False
 
     # --- for the owner
@@ -355,7 +355,7 @@
         stream.close()
         self.counts[why] += 1
         if why != "greeting_not_answered":  # a member that is down answers nothing
-            self._seldom.warning("fleet_link_closed", why=why, member=name)
+            self._rate_limited.warning("fleet_link_closed", why=why, member=name)
 
     def figures(self) -> dict[str, int]:
         """Counts since the start."""
--- a/mallowquay/fronts/platform/front.py
+++ b/mallowquay/fronts/platform/front.py
@@ -18,7 +18,7 @@
 from ...core.model import Clock, Ending, FinalAnswer, Presence, Request, Verdict
 from ...errors import Fault
 from ...net.accepting import AcceptingServer
-from ...net.seldom import Seldom
+from ...net.rate_limited import RateLimitedLogger
 from ...net.streams import (
     MESSAGE_MOST,
     WRITE_BUFFER_MOST,
@@ -31,7 +31,7 @@
 )
 from ...operation.readiness import Operation
 from ...operation.twin import Packet, Twin
-from ..recent import Recent
+from ..recently_seen import RecentlySeen
 from ..sip.message import (
     BadMessage,
     Header,
@@ -131,13 +131,14 @@
         self._margin, self._most, self._operation = end_margin, most, operation
         self._kept = SOCKETS_KEPT
         self.connections: dict[Connection, None] = {}  # the one heard of last at the end
-        self._warn_bad, self._warn_most = Seldom(log, clock), Seldom(log, clock)
+        self._warn_bad = RateLimitedLogger(log, clock)
+        self._warn_most = RateLimitedLogger(log, clock)
         self._watch = PeriodicCallback(self.watch, WATCH_EVERY)
         self._watch.start()
         self._unsent: dict[str, Release] = {}  # releases that found no open connection
         calls.presence = self.presence
-        self.over = Recent(4096)  # calls that are over
-        self.answered = Recent(4096)  # ids that have had their final answer: they do not come again
+        self.over = RecentlySeen(4096)  # calls that are over
+        self.answered = RecentlySeen(4096)  # ids that have had their final answer: they do not come again
         # A release of a call that this process never took.
         self.stray_release: Callable[[str, int], None] = lambda call_id, cause: None
         self.listed: Callable[[str], bool] = lambda server: True  # whether a log server is on the list
--- a/mallowquay/fronts/platform/handover.py
+++ b/mallowquay/fronts/platform/handover.py
@@ -16,7 +16,7 @@
 from ...net.streams import WRITE_BUFFER_MOST
 from ...net.tasks import Tasks
 from ...operation.twin import Packet, Twin
-from ..recent import Recent
+from ..recently_seen import RecentlySeen
 from ..sip.message import parse, q850_cause
 from ..statuses import NORMAL_CLEARING, release_ending
 from .connection import Connection
@@ -30,8 +30,8 @@
     """The front whose connections are handed over."""
 
     connections: dict[Connection, None]
-    answered: Recent
-    over: Recent
+    answered: RecentlySeen
+    over: RecentlySeen
 
     def serve(self, connection: Connection) -> Coroutine[Any, Any, None]:
         """Read a connection until it closes."""
--- a/mallowquay/fronts/platform/servers.py
+++ b/mallowquay/fronts/platform/servers.py
@@ -19,7 +19,7 @@
 from ...core.model import Attempt, Clock, Ending, Load, Server, ServerStatus
 from ...errors import Fault
 from ...membership.roster import Roster
-from ...net.seldom import Seldom
+from ...net.rate_limited import RateLimitedLogger
 from ...net.streams import (
     LINGER,
     ConnectFailed,
@@ -446,7 +446,7 @@
         self.connect_timeout = connect_timeout
         self.links: dict[str, Link] = {}
         self.unreadable = 0
-        self.warn_undialled = Seldom(log, clock)
+        self.warn_undialled = RateLimitedLogger(log, clock)
         # A call that this process never took is over.
         self.stray_ended: Callable[[str, int], None] = lambda call_id, cause: None
         self.spawn = Tasks().spawn
--- a/mallowquay/fronts/recent.py
+++ b/mallowquay/fronts/recently_seen.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 
-class Recent:
+class RecentlySeen:
     """Remembers the last so many ids."""
 
     def __init__(self, most: int) -> None:
--- a/mallowquay/net/accepting.py
+++ b/mallowquay/net/accepting.py
@@ -13,7 +13,7 @@
 from tornado.tcpserver import TCPServer
 
 from .clock import monotonic
-from .seldom import Seldom
+from .rate_limited import RateLimitedLogger
 
 log = structlog.get_logger(part=__name__)
 
@@ -29,7 +29,7 @@
         self, sock: socket.socket, take: Callable[[socket.socket, Any], None], make_room: Callable[[], object]
     ) -> None:
         self._loop, self._sock, self._take, self._make_room = IOLoop.current(), sock, take, make_room
-        self._warn = Seldom(log, monotonic)
+        self._warn = RateLimitedLogger(log, monotonic)
         self._paused: object | None = None
         self._open = True
         self._resume()
--- a/mallowquay/net/seldom.py
+++ b/mallowquay/net/rate_limited.py
@@ -1,4 +1,4 @@
-"""Warnings that a flood of one kind cannot multiply: one a second, with the number of those left out."""
+"""A rate-limited logger: one warning of a kind a second, with the number of those left out."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 GAP = timedelta(seconds=1)
 
 
-class Seldom:
+class RateLimitedLogger:
     """Logs what may come thousands of times a second."""
 
     def __init__(self, log: Any, clock: Clock) -> None:
--- a/mallowquay/operation/twin.py
+++ b/mallowquay/operation/twin.py
@@ -16,7 +16,7 @@
 from tornado.ioloop import IOLoop
 
 from ..net.clock import monotonic
-from ..net.seldom import Seldom
+from ..net.rate_limited import RateLimitedLogger
 
 log = structlog.get_logger(part=__name__)
 
@@ -52,7 +52,7 @@
         self._text, self._descriptors = bytearray(), list[int]()
         self.alive = True
         self._again: object | None = None  # the timer of what is sent again
-        self._warn_kept = Seldom(log, monotonic)
+        self._warn_kept = RateLimitedLogger(log, monotonic)
         self._deaf = False  # the other process has gone, and what it sent before is yet to be read
         sock.setblocking(False)
         loop.add_handler(sock, self._ready, IOLoop.READ)
