Keep starts as far apart as they were told: hold the offset until the wall clock steps

Since UnixTime took the offset between the two clocks anew for each start, by two readings one after the other, so two starts told together came apart by whatever passed between the readings: a microsecond or, where the process is put aside just there, a standstill. Ruled out: the test, which was right; the clocks, which did not step. Change: the offset is held as long as it lies within what was read (the monotonic clock before and after the wall clock, 1 ms of slack, as fine as starts are told), and taken anew once the wall clock has stepped.

--- a/mallowquay/net/clock.py
+++ b/mallowquay/net/clock.py
@@ -11,6 +11,7 @@
 from ..core.model import Clock
 
 POINTS_MOST = 4096  # starts of log servers that are remembered as they were told
+STEP_LEAST = timedelta(milliseconds=1)  # as fine as starts are told: a wall clock off by less has not stepped
 
 
 def monotonic() -> timedelta:
@@ -24,13 +25,16 @@
 
 
 class UnixTime:
-    """Turns Unix milliseconds into points of the monotonic clock, by the wall clock of the moment.
+    """Turns Unix milliseconds into points of the monotonic clock; a step of the wall clock is followed.
 
     What was told once has the same point ever after: a wall clock that steps makes no start a new one.
+    Without a step, starts are as far apart as they were told, also if this process stands still between
+    its readings of the two clocks.
     """
 
     def __init__(self, wall: Clock = wall_clock, clock: Clock = monotonic) -> None:
         self._wall, self._clock = wall, clock
+        self._held = wall() - clock()
         self._points: dict[int, timedelta] = {}  # by what was told; the oldest first
         self._told: dict[timedelta, int] = {}  # the other way round
 
@@ -40,7 +44,7 @@
             return None
         point = self._points.get(unix_ms)
         if point is None:
-            point = timedelta(milliseconds=unix_ms) - (self._wall() - self._clock())
+            point = timedelta(milliseconds=unix_ms) - self._offset()
             if len(self._points) >= POINTS_MOST:
                 self._told.pop(self._points.pop(next(iter(self._points))), None)
             self._points[unix_ms], self._told[point] = point, unix_ms
@@ -51,8 +55,14 @@
         if point is None:
             return 0
         told = self._told.get(point)
-        offset = self._wall() - self._clock()
-        return round((point + offset) / timedelta(milliseconds=1)) if told is None else told
+        return round((point + self._offset()) / timedelta(milliseconds=1)) if told is None else told
+
+    def _offset(self) -> timedelta:
+        """From the monotonic clock to the wall clock; the one held, if it lies within what was read."""
+        before, wall, after = self._clock(), self._wall(), self._clock()
+        if not wall - after - STEP_LEAST < self._held < wall - before + STEP_LEAST:
+            self._held = wall - after
+        return self._held
 
 
 # A timer that is late by this much says that this process stood still, or had much to do.
--- a/tests/test_crossings_feed.py
+++ b/tests/test_crossings_feed.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from datetime import timedelta
+from functools import partial
 from math import inf
 from tempfile import NamedTemporaryFile, TemporaryDirectory
 from typing import Any
@@ -209,6 +210,24 @@
             self.assertEqual(unix.milliseconds(started), old)  # as a successor is told it
             self.assertEqual(unix.point(wall // timedelta(milliseconds=1)), now)
 
+    def test_a_standstill_between_two_readings_moves_no_start(self) -> None:
+        """A cold server is spared from its start on; the clocks are read one after the other."""
+        now, stands_still = timedelta(hours=1), timedelta(0)
+
+        def read(offset: timedelta) -> timedelta:
+            nonlocal now
+            now += stands_still
+            return offset + now
+
+        unix = UnixTime(partial(read, timedelta(days=20_000)), partial(read, timedelta(0)))
+        told = [1_700_000_000_000 + 250 * number for number in range(4)]
+        points = []
+        for start, stands_still in zip(told, (0, 1, 30_000, 900_000), strict=True):
+            stands_still = timedelta(microseconds=stands_still)
+            points.append(unix.point(start))
+        assert points[0] is not None
+        self.assertEqual(points, [points[0] + number * timedelta(milliseconds=250) for number in range(4)])
+
 
 class ConsulTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_answer_that_chokes_the_client_or_the_program_ends_no_watch(self) -> None:
