Take a call's end at a full table, let idle SIP callers give way, repeat a lost BYE

Full table: Transactions._request answered 503 before anyone looked at the request, so the BYE of a call that stands did not count; an INVITE refused there was taken when its copy came; a copy on another transport got 503 while its call was open; a fifth branch of one INVITE stayed in the table for ever. Places: a caller that spoke once kept its place for ever, so did connections opened to callers' addresses; an accept without a descriptor shut newcomers out; with all places held by open calls no dial was possible, so attempts failed and BYEs were lost. A BYE to a caller went once more by the other transport only, never to where its Contact listens. A dial without a descriptor had three owners. Change: a request beyond the table is handled statelessly (RFC 3261, 8.2.7): BYE and CANCEL count, what ends no call gets 503. `Transport.hold` is the one owner of who needs a connection; at the cap the others give way in the order of the platform's front; 16 of the kept descriptors are for dials that calls need. `Bye` has its ways in order. `open_stream` alone owns such a dial.

--- a/mallowquay/assembly/sip.py
+++ b/mallowquay/assembly/sip.py
@@ -45,7 +45,7 @@
         # space and time).
         tag = partial(_tag, random.Random(secrets.randbits(128)))
         most = settings.sockets - SOCKETS_KEPT
-        transport = self._transport = Transport(heart.loop, settings.connect_timeout, most)
+        transport = self._transport = Transport(heart.loop, settings.connect_timeout, most, monotonic)
         timers = Timers(sip.t1, sip.t2, sip.t4)
         layer = self.layer = Transactions(transport, timers, _later, tag, sip.transactions_most)
         heart.unreadable = lambda: transport.garbage
--- a/mallowquay/fronts/platform/servers.py
+++ b/mallowquay/fronts/platform/servers.py
@@ -19,7 +19,6 @@
 from ...core.model import Attempt, Clock, Ending, Load, Server, ServerStatus
 from ...errors import Fault
 from ...membership.roster import Roster
-from ...net.rate_limited import RateLimitedLogger
 from ...net.streams import (
     LINGER,
     ConnectFailed,
@@ -300,10 +299,6 @@
         except ConnectFailed as failed:
             self._failed(failed.ending, address)
             return
-        except OSError as fault:  # no descriptor is free: the next dial may find one
-            self.side.warn_undialled.warning("server_not_dialled", server=self.server.id, fault=str(fault))
-            self._failed(Ending.CONNECTION_FAILED, address)
-            return
         self.connecting = False
         if self.closed or address != self.server.address:  # it went from the list meanwhile, or moved
             stream.close()
@@ -446,7 +441,6 @@
         self.connect_timeout = connect_timeout
         self.links: dict[str, Link] = {}
         self.unreadable = 0
-        self.warn_undialled = RateLimitedLogger(log, clock)
         # A call that this process never took is over.
         self.stray_ended: Callable[[str, int], None] = lambda call_id, cause: None
         self.spawn = Tasks().spawn
--- a/mallowquay/fronts/sip/front.py
+++ b/mallowquay/fronts/sip/front.py
@@ -27,7 +27,6 @@
 from .transactions import (
     Handle,
     InviteServer,
-    NonInviteClient,
     ServerTransaction,
     Transactions,
 )
@@ -43,6 +42,7 @@
 MANDATORY = ("Via", "From", "To", "Call-ID", "CSeq")
 BUSY_RETRY = ("Retry-After", "2")
 REFUSED_KEPT = 8192  # answers to set-ups turned away: copies come within 64 T1
+BRANCHES_MOST = 4  # of one INVITE that have its answer
 CANCELS_KEPT = 8192  # that came before their INVITE, which may follow within 64 T1
 EXPIRES_MOST = timedelta(hours=1)
 
@@ -67,11 +67,20 @@
         self.bye_due: int | None = None  # the cause of a BYE that waits for the ACK
         self._again: Handle | None = None
 
+    def heard(self, hop: Hop) -> None:
+        """Where the caller was heard last; the connections that the call needs give way to nobody."""
+        self.hop = hop
+        hops = [] if self.over else [hop, *(known.hop for known in self.transactions)]
+        self.front.layer.transport.hold(self, *hops)
+
     def join(self, transaction: InviteServer, hop: Hop) -> None:
         """The INVITE, or the same one once more on another branch or transport."""
-        self.hop = hop
+        # What the table had no room for comes anew with each copy.
+        self.transactions = [known for known in self.transactions if known.key != transaction.key]
         self.transactions.append(transaction)
-        del self.transactions[:-4]
+        if len(self.transactions) > BRANCHES_MOST:
+            self.transactions.pop(0).forgo()
+        self.heard(hop)
         if self.final is None:
             transaction.respond(100, [])
         else:
@@ -130,11 +139,11 @@
 
     def ack(self, hop: Hop) -> None:
         """The ACK of our 200, from either transport."""
-        self.hop = hop
         self.acknowledged = True
         if self._again is not None:
             self._again.cancel()
         self.transactions.clear()  # nothing is sent again on them: a standing call keeps little
+        self.heard(hop)
         if self.bye_due is not None:
             cause, self.bye_due = self.bye_due, None
             self.bye(cause)
@@ -154,15 +163,15 @@
         uri, headers = self.dialog.request("BYE")
         headers.append(("Reason", f"Q.850;cause={cause}"))
         layer, hop = self.front.layer, self.front.hop_for(self)
-        other = OTHER[hop.transport]  # a caller may have switched its transport
-        again = Hop(other if layer.transport.serves(other) else hop.transport, hop.address)
-        NonInviteClient(layer, "BYE", uri, headers, hop, Bye(layer, uri, headers, again)).start()
+        other = Hop(OTHER[hop.transport], hop.address)  # a caller may have switched its transport
+        Bye(layer, uri, headers, hop, *([other] if layer.transport.serves(other.transport) else [])).start()
         self.end()
 
     def end(self) -> None:
         """Nothing more is owed; copies of old messages are known for a while."""
         if not self.over:
             self.over = True
+            self.front.layer.transport.hold(self)
             if self._again is not None:
                 self._again.cancel()
             self.front.forget_later(self)
@@ -211,6 +220,9 @@
         if method == "CANCEL":
             self._cancel(transaction, request)
             return
+        if not transaction.stateful and method not in ("BYE", "INVITE"):  # nobody's call waits for it
+            transaction.respond(503, [BUSY_RETRY], to_tag=self.new_tag())
+            return
         tokens = [token for value in request.all("Require") for token in value.split(",")]
         if tokens:
             unsupported = ("Unsupported", ", ".join(token.strip() for token in tokens))
@@ -234,7 +246,8 @@
             leg.join(transaction, transaction.hop)
             return
         request = self._to_request(key, invite)
-        if key in self._refused or len(self.legs) >= self._config.calls_most or self._operation.refusing:
+        room = transaction.stateful and len(self.legs) < self._config.calls_most
+        if key in self._refused or not room or self._operation.refusing:
             if key not in self._refused:
                 self.calls.turn_away(request)
             self._refuse(transaction, key)
@@ -299,7 +312,7 @@
             if not self._servers.take_request(transaction, request):
                 transaction.respond(481, [])
             return
-        leg.hop = transaction.hop
+        leg.heard(transaction.hop)
         if leg.over:
             transaction.respond(200 if request.method == "BYE" else 481, [])
         elif not leg.dialog.in_order(request.cseq()[0]):
@@ -332,11 +345,9 @@
     def watch(self) -> None:
         """While callers are sent away: close their connections between requests."""
         if self._operation.closing:
-            open_legs = [leg for leg in self.legs.values() if not leg.over]
-            hops = [transaction.hop for leg in open_legs for transaction in leg.transactions]
-            # The ACK of a 200, the BYE of a call that stands and the answer to ours come on the same one.
-            hops += [leg.hop for leg in open_legs] + [client.hop for client in self.layer.clients.values()]
-            self.layer.transport.leave({hop.connection for hop in hops})
+            # The ACK of a 200, the BYE of a call that stands and the answer to ours come on the same one,
+            # which is held for them.
+            self.layer.transport.leave()
 
     # --- for legs and log servers
 
@@ -369,7 +380,8 @@
         hop = hop_of(uri, leg.hop.transport)
         if hop is None or not self.layer.transport.serves(hop.transport):
             return leg.hop
-        if leg.hop.connection is not None and hop.transport == "tcp" and not leg.dialog.routes:
+        here = leg.hop.connection is not None and not leg.hop.broken
+        if here and hop.transport == "tcp" and not leg.dialog.routes:
             return Hop("tcp", hop.address, leg.hop.connection, hop.address)
         return hop
 
--- a/mallowquay/fronts/sip/servers.py
+++ b/mallowquay/fronts/sip/servers.py
@@ -48,15 +48,24 @@
 
 
 class Bye(Quiet):
-    """Goes once more, another way, if its connection is gone before the answer: it may not have arrived."""
+    """Goes once more if its connection is gone before the answer, as it may not have arrived: by another
+    connection to the same place, then by the other way, if there is one.
+    """
 
-    def __init__(self, layer: Transactions, uri: str, headers: list[Header], again: Hop) -> None:
-        self.layer, self.uri, self.headers, self.again = layer, uri, headers, again
+    def __init__(self, layer: Transactions, uri: str, headers: list[Header], hop: Hop, *other: Hop) -> None:
+        self._layer, self._uri, self._headers = layer, uri, headers
+        self._ways = [hop, *([Hop("tcp", hop.address)] if hop.reliable else []), *other]
+
+    def start(self) -> None:
+        """Send it by the first way."""
+        hop = self._ways.pop(0)
+        NonInviteClient(self._layer, "BYE", self._uri, self._headers, hop, self).start()
 
     def unanswered(self, transaction: ClientTransaction, ending: Ending) -> None:
         """Nobody was there on this way."""
-        if ending is not Ending.TIMED_OUT:
-            NonInviteClient(self.layer, "BYE", self.uri, self.headers, self.again, QUIET).start()
+        super().unanswered(transaction, ending)
+        if ending is not Ending.TIMED_OUT and self._ways:
+            self.start()
 
 
 @dataclass(slots=True)
@@ -162,10 +171,12 @@
         self.side.dialogs[dialog.id] = self
         if self.dialog is None and not self.withdrawn:
             self.dialog = dialog
+            self.side.layer.transport.hold(self, self.hop)  # its end may come by this connection
             description = bytes(response.body).decode("utf-8", "replace")
             if self.side.calls.stood(self.attempt, description, read_load(response.get("P-Load"))):
                 return
             self.dialog = None
+            self.side.layer.transport.hold(self)
         self.side.bye(dialog, hop, NORMAL_CLEARING)
         self.side.forget_later([dialog.id])
 
@@ -178,6 +189,7 @@
     def over(self, cause: int | None) -> None:
         """The call that stands is over; `cause` is told to the log server unless it told us."""
         dialog, self.dialog = self.dialog, None
+        self.side.layer.transport.hold(self)
         if dialog is not None and cause is not None:
             self.side.bye(dialog, self.side.hop_to(dialog, self.hop), cause)
         self.side.forget_later(self.acks)
@@ -240,6 +252,7 @@
 
     def _begin(self, attempt: Attempt, opened: Connection | None) -> None:
         """The one place where an attempt begins; what was given up while it waited does not."""
+        self.layer.transport.hold(attempt)
         call = self.calls.get(attempt.request.id)
         if call is None or call.attempt is not attempt:
             return
@@ -262,8 +275,11 @@
         leg.start(connection)
 
     def _reach(self, attempt: Attempt, address: Address) -> None:
+        self.layer.transport.hold(attempt, Hop("tcp", address))  # from its dial until the INVITE leaves
+
         def reached(result: Connection | Ending) -> None:
             if isinstance(result, Ending):
+                self.layer.transport.hold(attempt)
                 self.calls.ended(attempt, result)
             else:
                 self._await_turn(attempt, result)
@@ -345,8 +361,7 @@
         """Close a dialog."""
         uri, headers = dialog.request("BYE")
         headers.append(("Reason", f"Q.850;cause={cause}"))
-        again = Bye(self.layer, uri, headers, Hop(hop.transport, hop.address))
-        NonInviteClient(self.layer, "BYE", uri, headers, hop, again if hop.reliable else QUIET).start()
+        Bye(self.layer, uri, headers, hop).start()
 
     def forget_later(self, dialogs: Iterable[DialogId]) -> None:
         """Keep dialogs for copies of their 2xx, then forget them."""
--- a/mallowquay/fronts/sip/transactions.py
+++ b/mallowquay/fronts/sip/transactions.py
@@ -92,14 +92,22 @@
 class ServerTransaction(Transaction):
     """A request that came in; `hop` is where its responses go."""
 
-    __slots__ = ("copied", "hop", "last", "method")
+    __slots__ = ("copied", "hop", "last", "method", "stateful")
 
-    def __init__(self, layer: Transactions, key: tuple[str, ...], request: Message, hop: Hop) -> None:
+    def __init__(
+        self, layer: Transactions, key: tuple[str, ...], request: Message, hop: Hop, stateful: bool
+    ) -> None:  # fmt: skip
         super().__init__(layer, key, State.TRYING)
         self.hop, self.method = hop, request.method
+        self.stateful = stateful  # in the table; else each copy is a request of its own (8.2.7)
         self.copied = stamped(copied_headers(request), hop)
         self.last: list[bytes] = []  # the response that a copy of the request is answered with
 
+    def set(self, name: str, delay: timedelta, action: Callable[[], None]) -> None:
+        """As for any; what the table has no room for has no timers either."""
+        if self.stateful:
+            super().set(name, delay, action)
+
     def respond(self, status: int, extra: list[Header], body: bytes = b"", to_tag: str = "") -> None:
         """Send a response; at most one final one."""
         copied = self.copied
@@ -147,8 +155,10 @@
 
     __slots__ = ()
 
-    def __init__(self, layer: Transactions, key: tuple[str, ...], request: Message, hop: Hop) -> None:
-        super().__init__(layer, key, request, hop)
+    def __init__(
+        self, layer: Transactions, key: tuple[str, ...], request: Message, hop: Hop, stateful: bool
+    ) -> None:  # fmt: skip
+        super().__init__(layer, key, request, hop, stateful)
         self.state = State.PROCEEDING
 
     def _respond(self, status: int, parts: list[bytes]) -> None:
@@ -178,6 +188,11 @@
         if self.state in (State.PROCEEDING, State.COMPLETED):
             self.resend()
 
+    def forgo(self) -> None:
+        """Its user answers it no more: one without a final response would stay for ever."""
+        if self.state is State.PROCEEDING:
+            self.terminate()
+
     def acknowledged(self) -> None:
         """The ACK of a final response other than 2xx."""
         if self.state is State.COMPLETED:
@@ -347,18 +362,20 @@
         self.on_request: RequestUser = lambda transaction, request: None
         self.on_ack: StrayUser = lambda ack, hop: None  # the ACK of a 2xx
         self.on_stray_response: StrayUser = lambda response, hop: None
-        self.turned_away = 0
+        self.stateless = 0  # requests that the table of server transactions had no room for
 
     def new_branch(self) -> str:
         """A branch that no other transaction has."""
         return COOKIE + self._new_branch()
 
     def add_client(self, transaction: ClientTransaction) -> None:
-        """A client transaction begins."""
+        """A client transaction begins; the connection that its response is due on is kept until it ends."""
         self.clients[transaction.key] = transaction
+        self.transport.hold(transaction, transaction.hop)
 
     def remove(self, transaction: Transaction) -> None:
         """A transaction has ended."""
+        self.transport.hold(transaction)
         table: dict[tuple[str, ...], Transaction]
         table = self.servers if isinstance(transaction, ServerTransaction) else self.clients  # type: ignore
         if table.get(transaction.key) is transaction:
@@ -410,16 +427,15 @@
         if known is not None:
             known.repeated()
             return
+        # The user hears of it however full the table is: it may end a call, or be one more copy of an INVITE
+        # that is open.
+        stateful = len(self.servers) < self._most
         kind = InviteServer if method == "INVITE" else NonInviteServer
-        transaction = kind(self, key, message, hop)
-        # A CANCEL has places of its own: a caller that has gone must be heard however full the table is.
-        if len(self.servers) >= (2 * self._most if method == "CANCEL" else self._most):
-            # Without a transaction of its own: its state is what there is no room for.
-            self.turned_away += 1
-            parts = write_response(503, transaction.copied, [("Retry-After", "2")])
-            self.transport.send(hop, parts)
-            return
-        self.servers[key] = transaction
+        transaction = kind(self, key, message, hop, stateful)
+        if stateful:
+            self.servers[key] = transaction
+        else:
+            self.stateless += 1
         self.on_request(transaction, message)
 
 
--- a/mallowquay/fronts/sip/transport.py
+++ b/mallowquay/fronts/sip/transport.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable, Iterable, Set
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -13,10 +14,10 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
-from tornado.tcpserver import TCPServer
 
 from ...settings import OTHER
-from ...core.model import Ending
+from ...core.model import Clock, Ending
+from ...net.accepting import AcceptingServer
 from ...net.streams import (
     MESSAGE_MOST,
     WRITE_BUFFER_MOST,
@@ -43,6 +44,8 @@
 DATAGRAMS_AT_ONCE = 64  # then other work gets its turn
 DEFAULT_PORT = 5060
 WAITING_MOST = 256  # messages kept while a connection comes up
+DIALS_KEPT = 16  # places beyond those of callers, for what calls need; of settings.SOCKETS_KEPT
+NEW_FOR = timedelta(milliseconds=300)  # a connection's first request may be on its way
 RECEIVE_BUFFER = 4 * 1024 * 1024
 DATAGRAM_LEAST = 512  # what the system books on its receive buffer for a datagram, however short, is more
 
@@ -88,8 +91,8 @@
 class Connection:
     """One TCP connection, whoever opened it."""
 
-    def __init__(self, stream: IOStream, address: Address, outgoing: bool) -> None:
-        self.stream, self.address, self.outgoing = stream, address, outgoing
+    def __init__(self, stream: IOStream, address: Address, outgoing: bool, now: timedelta) -> None:
+        self.stream, self.address, self.outgoing, self.opened_at = stream, address, outgoing, now
         self.buffer = MessageBuffer()
         self.pending: asyncio.Future[int] | None = None  # the read that is out
         self.read_bytes = 0
@@ -100,6 +103,11 @@
         """Send a message; False if the connection is gone."""
         return gathered_write(self.stream, parts)
 
+    @property
+    def half(self) -> bool:
+        """Whether a message has come, or was written, in part."""
+        return self.buffer.start < self.buffer.end or self.stream.writing()
+
     def inbound(self) -> Inbound:
         """Look, without taking anything; a close that has come but was not read yet is seen as well."""
         read = self.pending
@@ -127,14 +135,19 @@
 class Transport:
     """Both transports of one host and port each; messages go up to `take`."""
 
-    def __init__(self, loop: IOLoop, connect_timeout: timedelta, connections_most: int) -> None:
+    def __init__(
+        self, loop: IOLoop, connect_timeout: timedelta, connections_most: int, clock: Clock
+    ) -> None:  # fmt: skip
         self._loop, self._connect_timeout, self._most = loop, connect_timeout, connections_most
+        self.clock = clock
         self.take: Callable[[Message, Hop], None] = lambda message, hop: None
         self.lost: Callable[[Connection, Ending], None] = lambda connection, ending: None
         self._udp: socket.socket | None = None
         self._datagram = bytearray(MESSAGE_MOST + 1)
         self._local: dict[str, Address] = {}
-        self._connections: dict[Connection, None] = {}  # the one opened first at the start
+        self._connections: dict[Connection, None] = {}  # the one heard of last at the end
+        self._holds: dict[object, set[Connection | Address]] = {}  # by who needs them
+        self._held: Counter[Connection | Address] = Counter()  # by how many; an address: what we open to it
         self._out: dict[Address, Connection] = {}
         self._coming: dict[Address, list[Reached]] = {}
         self._datagrams = self._drained = 0  # read, and how often there were no more
@@ -241,9 +254,7 @@
         waiting = self._coming.get(address)
         if waiting is not None and len(waiting) < WAITING_MOST:
             waiting.append(reached)
-        elif waiting is not None or (
-            len(self._connections) + len(self._coming) >= self._most and not self._make_room()
-        ):
+        elif waiting is not None or not self._place(len(self._coming), address):
             self._loop.add_callback(reached, Ending.CONNECTION_SILENT)
         else:
             self._coming[address] = [reached]
@@ -252,12 +263,10 @@
     async def _connect(self, address: Address) -> None:
         result: Connection | Ending
         try:
-            result = Connection(await open_stream(address, self._connect_timeout), address, outgoing=True)
+            stream = await open_stream(address, self._connect_timeout)
+            result = Connection(stream, address, outgoing=True, now=self.clock())
         except ConnectFailed as refused:
             result = refused.ending
-        except OSError as fault:  # no descriptor is left: whoever waits must hear of it, and may come again
-            log.warning("connection_not_opened", to="%s:%d" % address, fault=str(fault))
-            result = Ending.CONNECTION_SILENT
         waiting = self._coming.pop(address)
         if isinstance(result, Connection):
             if self.admit(result):
@@ -269,11 +278,59 @@
         if isinstance(result, Connection):
             await self.read(result)
 
+    # --- places
+
+    def hold(self, holder: object, *hops: Hop) -> None:
+        """Keep the connections of these hops, and no others any more, for `holder`: they don't give way."""
+        for key in self._holds.pop(holder, ()):
+            self._held[key] -= 1
+            if not self._held[key]:
+                del self._held[key]
+        needed = {hop.connection or hop.address for hop in hops if hop.reliable}
+        if needed:
+            self._holds[holder] = needed
+            self._held.update(needed)
+
+    def _needed(self, connection: Connection) -> bool:
+        return connection in self._held or (connection.outgoing and connection.address in self._held)
+
+    def _place(self, coming: int, dialled: Address | None) -> bool:
+        """Whether there is a place for one more; a dial that a call needs finds one, whoever came."""
+        count = len(self._connections) + coming
+        kept = DIALS_KEPT if dialled in self._held else 0
+        return count < self._most or self.make_room() or count < self._most + kept
+
+    def make_room(self) -> bool:
+        """Close what is missed least; what an open request or a standing call needs keeps its place.
+
+        The order is that of the platform's front: one that has said nothing for a moment, then the one
+        longest without a word. One that came just now, and one that has begun a message, go last, each kind
+        sooner once it fills half: no crowd that says nothing drives all out that have spoken.
+        """
+        grace, many = self.clock() - NEW_FOR, self._most // 2
+        old, new, begun, spoke = (list[Connection]() for _ in range(4))
+        for known in self._connections:
+            if known.closing:
+                old.append(known)
+            elif not self._needed(known):
+                silent = new if known.opened_at > grace else old
+                (begun if known.half else spoke if known.spoke else silent).append(known)
+        # What has just come on one is not thrown away: it may be a whole request.
+        order = old + new * (len(new) > many) + spoke + begun * (len(begun) > many) + new + begun
+        resting = (known for known in order if known.closing or known.inbound() is not Inbound.UNREAD)
+        least = next(resting, None)
+        if least is None:
+            return False
+        del self._connections[least]  # its place is free at once
+        least.closing = True
+        least.stream.close()
+        return True
+
     # --- receiving
 
     def admit(self, connection: Connection) -> bool:
         """Find a place for a connection, or close it."""
-        if len(self._connections) >= self._most and not self._make_room():
+        if not self._place(0, connection.address if connection.outgoing else None):
             connection.stream.close()
             return False
         self._connections[connection] = None
@@ -311,25 +368,10 @@
                 del self._out[connection.address]
         self.lost(connection, ending or close_ending(stream))
 
-    def _make_room(self) -> bool:
-        """At the limit: the one that has said nothing whole for the longest gives way to a newcomer."""
-        quiet_ones = [known for known in self._connections if not known.spoke or known.closing]
-        if not quiet_ones:
-            return False
-        # One whose first request has come and is yet to be read speaks in a moment.
-        resting = (known for known in quiet_ones if known.inbound() is not Inbound.UNREAD)
-        silent = next(resting, quiet_ones[0])
-        del self._connections[silent]
-        silent.closing = True
-        silent.stream.close()
-        return True
-
-    def leave(self, busy: Set[Connection | None]) -> None:
-        """Close callers' connections between requests, but for these."""
-        for connection in [known for known in self._connections if known not in busy]:
-            buffer = connection.buffer
-            whole = buffer.start == buffer.end and not connection.stream.writing()
-            rests = whole and connection.inbound() is Inbound.TAKEN
+    def leave(self) -> None:
+        """Close callers' connections between requests, but for those that are needed."""
+        for connection in [known for known in self._connections if not self._needed(known)]:
+            rests = not connection.half and connection.inbound() is Inbound.TAKEN
             if rests and not connection.outgoing and not connection.closing:
                 connection.closing = True
                 finish_writing(connection.stream)
@@ -362,6 +404,8 @@
             if message is None:
                 return
             connection.spoke = True
+            if connection in self._connections:
+                self._connections[connection] = self._connections.pop(connection)
             host, port = connection.address
             fallback = (host, sent_by_port(message.get("Via"))) if message.method else None
             self._up(message, Hop("tcp", (host, port), connection, fallback))
@@ -420,16 +464,20 @@
     return connection.stream.socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) + MESSAGE_MOST
 
 
-class _Listener(TCPServer):
+class _Listener(AcceptingServer):
     def __init__(self, transport: Transport) -> None:
         super().__init__(max_buffer_size=WRITE_BUFFER_MOST, read_chunk_size=16 * 1024)
         self._transport = transport
 
     def handle_stream(self, stream: IOStream, address: Address) -> Awaitable[None] | None:
-        connection = Connection(quiet(stream), address[:2], outgoing=False)
+        connection = Connection(quiet(stream), address[:2], outgoing=False, now=self._transport.clock())
         # Its place is found before the next one is accepted: a burst must not use up the descriptors.
         return self._transport.read(connection) if self._transport.admit(connection) else None
 
+    def make_room(self) -> object:
+        """No descriptor is left for a newcomer."""
+        return self._transport.make_room()
+
 
 # --- values --------------------------------------------------------------------------------------
 
--- a/mallowquay/net/streams.py
+++ b/mallowquay/net/streams.py
@@ -8,13 +8,17 @@
 from datetime import timedelta
 from enum import Enum
 
+import structlog
 from tornado import gen
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.util import TimeoutError as TornadoTimeout
 
 from ..core.model import Ending
 from ..errors import Fault
+from .clock import monotonic
+from .rate_limited import RateLimitedLogger
 
+WARN = RateLimitedLogger(structlog.get_logger(part=__name__), monotonic)
 MESSAGE_MOST = 16 * 1024
 LINGER, LINGER_BYTES = timedelta(milliseconds=500), 1024 * 1024
 WRITE_BUFFER_MOST = 256 * 1024  # a peer that does not read is dropped past this
@@ -131,25 +135,26 @@
 async def open_stream(
     address: tuple[str, int], within: timedelta, read_most: int = WRITE_BUFFER_MOST
 ) -> IOStream:
-    """A new connection with bounded buffers, or ConnectFailed."""
+    """A new connection with bounded buffers, or ConnectFailed, whatever stood in the way."""
     try:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), max_buffer_size=read_most)
     except OSError as fault:  # no descriptor is left: nothing ran, and it may be tried again
+        WARN.warning("no_descriptor_for_a_connection", to="%s:%d" % address, fault=str(fault))
         raise ConnectFailed(Ending.CONNECTION_FAILED) from fault
-    stream = IOStream(sock, max_buffer_size=read_most)
     stream.max_write_buffer_size = WRITE_BUFFER_MOST
     try:
         await gen.with_timeout(within, stream.connect(address), quiet_exceptions=StreamClosedError)
+        return quiet(stream)
     except asyncio.CancelledError:  # nobody waits for it any more
         stream.close()
         raise
     except TornadoTimeout:
-        stream.close()
-        raise ConnectFailed(Ending.CONNECTION_SILENT) from None
-    except StreamClosedError:  # nothing ran; but only a refusal proves that no process is there
+        ending = Ending.CONNECTION_SILENT
+    except OSError:  # nothing ran; but only a refusal proves that no process is there
         refused = isinstance(stream.error, ConnectionRefusedError)
-        raise ConnectFailed(Ending.CONNECTION_REFUSED if refused else Ending.CONNECTION_FAILED) from None
-    return quiet(stream)
+        ending = Ending.CONNECTION_REFUSED if refused else Ending.CONNECTION_FAILED
+    stream.close()
+    raise ConnectFailed(ending)
 
 
 async def close_gently(stream: IOStream) -> None:
