--- a/mallowquay/cli/__init__.py
+++ b/mallowquay/cli/__init__.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from collections.abc import Sequence
 from importlib import import_module
+from typing import Any
 
 import click
 
@@ -21,6 +23,7 @@
     "fleet": "fleet",
     "copies": "copies",
 }
+SERVING = (None, "serve", "control-plane")  # SIGHUP is theirs from the first moment; it ends the others
 
 
 class Commands(click.Group):
@@ -67,6 +70,8 @@
     """
     from .. import logs
 
+    if context.obj is not None and context.invoked_subcommand not in SERVING:
+        signal.signal(signal.SIGHUP, context.obj)
     logs.configure(logs.LogFormat(log_format), log_level)
     if context.invoked_subcommand is None:
         from .. import service
@@ -74,13 +79,16 @@
         context.exit(service.run([]))
 
 
-def program(arguments: Sequence[str]) -> int:
+def program(arguments: Sequence[str], hang_up: Any = None) -> int:
     """Run the command line; what cannot be used is one line on standard error, and exit code 2.
 
-    Where it comes of an error of the program's own, a second line says what to do.
+    Where it comes of an error of the program's own, a second line says what to do. `hang_up`: what SIGHUP did
+    before the start ignored it, which holds again for commands that do not serve; None leaves it as it is.
     """
     try:
-        outcome = mallowquay.main(args=list(arguments), prog_name="mallowquay", standalone_mode=False)
+        outcome = mallowquay.main(
+            args=list(arguments), prog_name="mallowquay", standalone_mode=False, obj=hang_up
+        )
     except click.exceptions.NoArgsIsHelpError as fault:
         print(fault.format_message())
         return 2
--- a/mallowquay/controlplane/service.py
+++ b/mallowquay/controlplane/service.py
@@ -63,7 +63,7 @@
     return plane, hub, server
 
 
-async def _serve(path: str, settings: Config) -> None:
+async def _serve(path: str, settings: Config, hung_up: Callable[[], bool]) -> None:
     decisions = Decisions(settings.settings, settings.seed, monotonic)
     places: dict[str, Any] = {}
     plane, hub, server = await start(settings, decisions.ratings, partial(places.__setitem__, "ads"))
@@ -122,6 +122,8 @@
     if settings.control is not None:
         figures = lambda: {"members": len(listed), **counts, "xds": hub.figures()}  # noqa: E731
         control = serve_control(operation, figures, settings.control)
+    if hung_up():
+        reload()
     log.info("serving", **places)
     await done.wait()
     operation.stop()
@@ -135,14 +137,15 @@
 
 def run(path: str) -> int:
     """Serve until asked to end; the exit code: 0 as asked, 1 failed, 2 the file cannot be used."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it means a new file, and the file is yet to be read
+    hang_ups: list[int] = []  # each means a new file, which may have been written after this one is read
+    signal.signal(signal.SIGHUP, lambda number, frame: hang_ups.append(number))
     try:
         settings = load_control_plane(path)
     except ConfigError as fault:
         print(f"mallowquay: configuration: {fault}\n{fault.advice()}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(_serve(path, settings))
+        asyncio.run(_serve(path, settings, lambda: bool(hang_ups)))
     except (Fault, OSError) as fault:
         known = not_started(fault)
         print(f"mallowquay: {known}\n{known.advice()}", file=sys.stderr)
