Let both processes of an upgrade share one set of turns at a cold log server

Cause: a successor takes phase and gap of the turns over from the memory, while the process before sends on in the same turns with the callers and open calls it still has. After `start_anew` open calls of the old ratings used turns beside the new ones. And where turns are longer than their gap, one not used was dropped when the next began. Change: `Decisions.cede_cold` says who has the turns; at each change of owner those open or beginning within 0.5 s count as used. The older ratings of a process cede for good. Turns overlap only as far as the bound holds if every process takes the server for a ninth too able. Not taken, after trials: turns by own rate, other safety, exact variance, overlap without that cap.

--- a/benchmarks/cold_worlds.py
+++ b/benchmarks/cold_worlds.py
@@ -2,8 +2,9 @@
 
     PYTHONPATH=. .venv/bin/python benchmarks/cold_worlds.py [--worlds 1000] [--seed 1] [--workers 2]
 
-Told processes may send N + 2 x root of N + 2 set-ups in any window of the length `fall`, N at the coldest
-allowed. Prints one line of JSON with `violations`; exit code 1 where it is not 0.
+Told processes, both of an upgrade included, may send N + 2 x root of N + 2 set-ups in any window of the
+length `fall`, N at the coldest allowed. Prints one line of JSON with `violations`; exit code 1 where it is
+not 0.
 """
 
 from __future__ import annotations
@@ -49,6 +50,9 @@
 HOLD = 8 * SECOND
 RATE_MOST = 30.0  # set-ups a second that one process is offered for it
 POLLED = 6.0  # looks a second, where calls are held
+STARTS_WITHIN = SECOND  # a successor, from its memory to its word that it serves
+WORD_WITHIN = 400 * MS  # and that word is read: a process that stands still longer may use a turn again
+LINGERS = 10 * SECOND  # the process before, for its open calls
 WARM, TARGET = "warm", "cold"
 CALLS = CallClass(1_500_000, 9_000_000, 1.0, 0.25, True, HOLD, None)
 
@@ -84,6 +88,8 @@
         self.world, self.number = world, number
         self.controller = Controller(settings_of(world.size), world.seed * 1009 + number)
         self.told = 0  # of which start
+        self.before: Process | None = None  # of an upgrade
+        self.ended = False
         servers = (WARM, TARGET) if known and world.same_id else (WARM,)
         self.handle(ServerList(ListKind.FULL, tuple(entry(name) for name in servers)))
         if known:
@@ -99,6 +105,8 @@
         """The list's word of the start."""
         self.told = boot
         self.handle(ServerList(ListKind.CHANGES, (entry(TARGET, boot),)))
+        if self.before is not None:
+            self.before.tell(boot)
 
     def answer(self) -> None:
         """It found the server silent, and it answers again."""
@@ -107,21 +115,36 @@
             self.handle(ServerReport(TARGET, True, True, ()))
             self.told = self.world.boot
 
-    def succeed(self) -> Process:
-        """A second process takes over what this one knows; this one still has calls for a while."""
+    def succeed(self, memory: dict[str, Any]) -> Process:
+        """A second process takes over what this one knew as it told; this one still has calls for a while."""
         after = Process(self.world, self.number + self.world.size, True)
         after.tell(self.world.boot)
-        after.controller.remember(self.world.now, self.controller.memory())
+        after.controller.remember(self.world.now, memory)
+        after.before = self
         return after
 
+    def cede(self, ceded: bool) -> None:
+        """Word of the successor: it serves, or has gone."""
+        if not self.ended:
+            self.controller.cede_cold(self.world.now, ceded)
+
+    def end(self) -> None:
+        """It sends no more, nor does the one before it."""
+        self.ended = True
+        if self.before is not None:
+            self.before.end()
+
     def restart(self) -> Process:
         """A process in its place that knows nothing but the list."""
+        self.end()
         after = Process(self.world, self.number + 2 * self.world.size, False)
         after.tell(self.world.boot)
         return after
 
     def offer(self) -> None:
         """One call that only the cold server may take."""
+        if self.ended:
+            return
         self.world.calls += 1
         if TARGET in self.controller.servers:
             call = self.world.calls
@@ -132,6 +155,8 @@
     def handle(self, event: Event) -> None:
         """One event; a set-up that is sent stands at once, is reset or finds the server full."""
         world = self.world
+        if self.ended:
+            return
         for action in self.controller.handle(world.now, event):
             if isinstance(action, SetTimer) and action.delay == 300 * MS:
                 world.at(world.now + action.delay, lambda token=action.token: self.handle(TimerDue(token)))
@@ -182,6 +207,8 @@
         mean = load * self.budget * SECOND / FALL / sum(weights)
         again = START + draw.randrange(4 * SECOND, 8 * SECOND) if draw.random() < 0.3 else START
         self.ends = again + COLD
+        upgraded = draw.choice((0.1, 0.1, 1.0))  # part of the processes, one by one or at one moment
+        together = START + draw.randrange(2 * SECOND, COLD) if draw.random() < 0.3 else None
         restarted = draw.choice((0.0, 0.0, 0.1, 0.7))  # part of the processes, all at one moment
         killed = START + draw.randrange(2 * SECOND, COLD)
         for slot, weight in enumerate(weights):
@@ -191,17 +218,22 @@
             silent = self.same_id and draw.random() < 0.1  # never told, until it answers
             tell = Process.answer if silent else partial(Process.tell, boot=START)
             self.at(told, partial(self._do, slot, tell))
-            if draw.random() < 0.1:
-                self.at(told + draw.randrange(5 * SECOND), partial(self._replace, slot, Process.succeed))
+            rate = min(RATE_MOST, weight * mean) if load < inf else POLLED
+            if draw.random() < upgraded:
+                due = together or told + draw.randrange(5 * SECOND)
+                self.at(due, partial(self._upgrade, slot, rate))
+                if draw.random() < 0.2:
+                    due += draw.randrange(STARTS_WITHIN, 5 * SECOND)
+                    self.at(due, partial(self._upgrade, slot, rate))
             if draw.random() < restarted:
-                self.at(killed, partial(self._replace, slot, Process.restart))
+                self.at(killed, partial(self._restart, slot))
                 self._learn(slot, killed)
             if again > START:
                 self.at(again, partial(setattr, self, "boot", again))
                 tell = partial(Process.tell, boot=again)
                 self.at(again + draw.randrange(late), partial(self._do, slot, tell))
-            if (rate := min(RATE_MOST, weight * mean) if load < inf else POLLED) > 0.001:
-                self._call(slot, rate, START)
+            if rate > 0.001:
+                self._call(partial(self.processes.__getitem__, slot), rate, START, self.ends)
         for _ in range(draw.randrange(4)):  # all find another server lost at one moment
             self.at(draw.randrange(START, self.ends), self._burst)
 
@@ -212,15 +244,43 @@
     def _do(self, slot: int, action: Callable[[Process], Any]) -> None:
         action(self.processes[slot])
 
-    def _replace(self, slot: int, how: Callable[[Process], Process]) -> None:
-        self.processes[slot] = how(self.processes[slot])
-
-    def _call(self, slot: int, rate: float, at: int) -> None:
+    def _restart(self, slot: int) -> None:
+        self.processes[slot] = self.processes[slot].restart()
+
+    def _upgrade(self, slot: int, rate: float) -> None:
+        """The older goes on, with callers until told that its successor serves, then with open calls."""
+        draw, older = self.random, self.processes[slot]
+        serves = self.now + draw.randrange(STARTS_WITHIN)
+        told = serves + draw.choice((MS, draw.randrange(WORD_WITHIN)))
+        ends = told + draw.randrange(LINGERS)
+        self.at(serves, partial(self._succeed, slot, older, older.controller.memory()))
+        self.at(told, partial(older.cede, True))
+        self._call(lambda: older, max(rate, 0.01), serves, ends)
+        self.at(ends, partial(self._end, slot, older))
+        if draw.random() < 0.2:
+            self.at(draw.randrange(serves, ends), partial(self._die, slot, older, told))
+
+    def _succeed(self, slot: int, older: Process, memory: dict[str, Any]) -> None:
+        if self.processes[slot] is older:
+            self.processes[slot] = older.succeed(memory)
+
+    def _end(self, slot: int, older: Process) -> None:
+        if self.processes[slot] is not older:
+            older.end()
+
+    def _die(self, slot: int, older: Process, told: int) -> None:
+        """The successor, and the older goes on alone; what was said before is read before."""
+        if self.processes[slot].before is older and not older.ended:
+            self.processes[slot].ended = True
+            self.processes[slot] = older
+            self.at(max(self.now, told) + MS, partial(older.cede, False))
+
+    def _call(self, whose: Callable[[], Process], rate: float, at: int, until: int) -> None:
         def offered() -> None:
-            self.processes[slot].offer()
-            self._call(slot, rate, self.now)
+            whose().offer()
+            self._call(whose, rate, self.now, until)
 
-        if (due := at + int(self.random.expovariate(rate) * SECOND)) < self.ends:
+        if (due := at + int(self.random.expovariate(rate) * SECOND)) < until:
             self.at(due, offered)
 
     def _burst(self) -> None:
--- a/mallowquay/core/decisions.py
+++ b/mallowquay/core/decisions.py
@@ -127,6 +127,7 @@
         self._before: list[tuple[int, Controller]] = []
         self._timers: list[tuple[int, int, int, Controller]] = []
         self._order = self._open_before = 0
+        self._ceded = False  # turns at cold log servers are the successor's
         self._numbers: dict[str, int] = {}  # request id to the module's call number, while either owes
         self._names: dict[int, str] = {}
         self._sent: dict[int, int] = {}  # attempts sent so far of each call
@@ -217,6 +218,7 @@
         self._before = [(first, controller) for first, controller in self._before if first > oldest]
         if len(self._before) >= BEFORE_MOST:
             return  # nothing is older than the last of them; a day does not end so often
+        self._controller.cede_cold(self._now(), True)  # one owner of the turns: the new one
         if self._names:
             self._before.append((self._next_number + 1, self._controller))
         self._open_before = len(self._names)
@@ -224,6 +226,7 @@
         self._controller = Controller(self._settings, self._seed)
         entries = tuple(self._entry(server) for server in servers)
         self._handle(ServerList(ListKind.FULL, entries))
+        self._controller.cede_cold(self._now(), self._ceded)
 
     def _handle_before(self, event: Event) -> list[Decision]:
         """The same as `_handle`, while calls of before are open: each goes to whoever knows it."""
@@ -247,6 +250,15 @@
         """Go on from the memory of the process before; the list has been told."""
         self._controller.remember(self._now(), memory)
 
+    def cede_cold(self, ceded: bool) -> None:
+        """True: told that its successor serves, this process sends nothing to a cold log server.
+
+        False: that successor has gone, and this one goes on alone; its turns are back, without credit.
+        """
+        if ceded != self._ceded:
+            self._ceded = ceded
+            self._controller.cede_cold(self._now(), ceded)
+
     def avoided(self) -> int:
         """How many log servers of the list the module sends nothing to now."""
         return self._controller.avoided(self._now())
--- a/quincestand/logic.py
+++ b/quincestand/logic.py
@@ -79,8 +79,7 @@
 LOG_EVERY = 5 * SECOND  # a log line about one server at most this often
 
 # What a successor goes on from: of the controller, and of its view of each server.
-KEPT_OWN = ("last_clean", "part", "demand", "demand_at", "demand_seen", "standing", "hold", "lines_cut_at",
-            "lossy_until")  # fmt: skip
+KEPT_OWN = "last_clean part demand demand_at demand_seen standing hold lines_cut_at lossy_until".split()
 KEPT_OF_VIEW = (
     "state returns capped cut clean_share offered_rate clean_rate pass_until full_until cold_since "
     "cold_until cold_next cold_gap cold_turn reset_at last_delay answered_at lost_in_row faults_in_row free "
@@ -148,10 +147,8 @@
 class ServerView:
     """What this gateway knows of one core server. Rates are set-ups a second."""
 
-    def __init__(
-        self, entry: ServerEntry, now: int, limits: tuple[int, ...], chance: random.Random,
-        pace: Pace = Pace(),
-    ) -> None:  # fmt: skip
+    def __init__(self, entry: ServerEntry, now: int, limits: tuple[int, ...], chance: random.Random,
+                 pace: Pace = Pace()) -> None:  # fmt: skip
         self.entry = entry
         self.delay_state, self.loss_state = Indicator(*limits), Indicator(L1_LOSS, L2_LOSS, LR_LOSS)
         self.state = self.returns = 0
@@ -210,10 +207,14 @@
         return self.entry.state is ServerState.READY
 
     def cold_room(self, now: int) -> bool:
-        """Whether it is warm, or this gateway's turn: none has gone yet in the one that is open."""
+        """Whether it is warm, or this gateway's turn: one is open in which none has gone yet."""
         past = now - self.cold_next
         return now >= self.cold_until or past >= 0 and past % self.cold_gap < self.cold_turn
 
+    def lapse(self, since: int) -> None:
+        """Turns at it that began before `since` are over, used or not."""
+        self.cold_next = max(self.cold_next, since + (self.cold_next - since) % self.cold_gap)
+
     def full_up(self, part: float, least: int) -> bool:
         """Whether this gateway's part of what it takes within L1 is unanswered (Little's law)."""
         window = round(GROWTH * part * self.capacity * self.l1 / SECOND)
@@ -297,13 +298,13 @@
 class Call:
     """A call this gateway owes an answer."""
 
-    def __init__(
-        self, event: CallOffered, kind: CallClass, most: int, now: int, urgent: bool, cut_first: bool
-    ) -> None:
+    def __init__(self, event: CallOffered, kind: CallClass, most: int, now: int, first: int, urgent: bool,
+                 cut_first: bool) -> None:  # fmt: skip
         self.event, self.kind, self.most = event, kind, most  # at most so many attempts
-        self.offered_at, self.rank = now, (cut_first, not urgent, now)  # rank: the worthiest first
+        self.offered_at, self.rank = first, (cut_first, not urgent, first)  # rank: the worthiest first
         self.gives_up = now + event.budget - END_MARGIN
-        self.attempts = self.hold_until = self.errors = 0
+        self.hold_until = min(self.gives_up, now + int((first + kind.aim - now) * HOLD_OF_AIM))
+        self.attempts = self.errors = 0
         self.server: ServerId | None = None  # where its attempt is out
         self.ready_at = now  # not sent before: the release wait
         self.tried: list[ServerId] = []
@@ -334,7 +335,7 @@
             CallStands: self._stands, AttemptEnded: self._ended, CallerGone: self._gone, TimerDue: self._due,
             NewSettings: self._retuned,
         }  # fmt: skip
-        self.started = False
+        self.started = self.ceded = False  # ceded: turns at cold servers are the successor's
         # Numbers whose callers may dial again, with their first try; with no line free, until when so.
         self.missed, self.busy = dict[int, int](), dict[int, int]()
         self.tick_at: int | None = None  # when the next tick is due
@@ -406,17 +407,15 @@
         rated = []
         for name, view in self.servers.items():
             if view.entry.state is not ServerState.GONE:
-                shut = view.silent or now < view.full_until or not view.cold_room(now)
                 takes = self.part * (view.takes(now) or view.capacity)
-                rated.append((name, 2 if shut else view.state, takes if view.bucket.rate is None
-                              else min(view.bucket.rate, takes or inf)))  # fmt: skip
+                most = takes if view.bucket.rate is None else min(view.bucket.rate, takes or inf)
+                rated.append((name, 2 if self._shut(now, view) else view.state, most))
         return rated
 
     def avoided(self, now: int) -> int:
         """Of the servers on the list, how many get no call at all: full, silent, draining, cold for now."""
         listed = [view for view in self.servers.values() if view.entry.state is not ServerState.GONE]
-        return sum(not view.usable() or view.silent or now < view.full_until or not view.cold_room(now)
-                   for view in listed)  # fmt: skip
+        return sum(not view.usable() or self._shut(now, view) for view in listed)
 
     def memory(self) -> dict[str, Any]:
         """What a successor on the same clock is to know: ratings, caps, capacities, demand. Plain values."""
@@ -428,10 +427,18 @@
         self.__dict__.update({name: memory["own"][name] for name in KEPT_OWN})
         self.review_at = now + self.random.randrange(self.pace.review)
         for view in self.servers.values():
-            if (kept := memory["servers"].get(view.entry.server)) is not None:
-                view.remember(kept)
-                if view.entry.boot_time > view.cold_since:  # only the list told here has this start
-                    self._start_cold(view, now, view.entry.boot_time)
+            view.remember(memory["servers"].get(view.entry.server, {}))
+            if view.entry.boot_time > view.cold_since:  # only the list told here has this start
+                self._start_cold(view, now, view.entry.boot_time)
+        self.cede_cold(now, False)
+
+    def cede_cold(self, now: int, ceded: bool) -> None:
+        """Both processes of an upgrade count as one: whether the successor has the turns at cold servers.
+
+        Those open now, or soon, count as used: the other may have used them, or may until word is there."""
+        self.ceded = ceded
+        for view in self.servers.values():
+            view.lapse(now + COLD_TURN)
 
     # --- server list and reports
 
@@ -472,8 +479,7 @@
             self._log(view, now, "cut its calls; taken as restarted")
 
     def _report(self, now: int, event: ServerReport) -> None:
-        view = self.servers.get(event.server)
-        if view is not None:
+        if (view := self.servers.get(event.server)) is not None:
             self._read(now, view, event.report)
             if not event.asked:
                 view.told_gap = min(SECOND, max(TICK, now - view.told_at)) if view.told_at else SECOND
@@ -567,10 +573,7 @@
         first_offered = min(now, self.missed.pop(event.called, now))
         late = now - first_offered > kind.aim
         urgent = kind.worth >= self.urgent_worth and not late
-        call = Call(event, kind, self.settings.max_attempts, now, urgent, over or late)
-        call.hold_until = min(call.gives_up, now + int((first_offered + kind.aim - now) * HOLD_OF_AIM))
-        call.offered_at = first_offered
-        call.rank = (call.cut_first, not call.urgent, first_offered)
+        call = Call(event, kind, self.settings.max_attempts, now, first_offered, urgent, over or late)
         if first_offered == now:
             self.demand += SECOND / SHARE_SPAN
         self.hold += (kind.mean_hold - self.hold) * HOLD_MEMORY
@@ -631,14 +634,14 @@
         call.attempts += 1
         view.out[call.event.call] = now
         if now < view.cold_until:
-            begun, view.cold_gap = now - (now - view.cold_next) % view.cold_gap, self._cold_gap(view)
-            view.cold_next = begun + view.cold_gap
+            view.lapse(now - view.cold_turn + 1)
+            view.cold_gap = self._cold_gap(view)
+            view.cold_next += view.cold_gap
         self.actions.append(Send(call.event.call, server, call.gives_up - now))
         return True
 
     def _retry(self, now: int, number: CallId) -> None:
-        call = self.calls.get(number)
-        if call is not None and call.server is None and number not in self.held:
+        if (call := self.calls.get(number)) is not None and call.server is None and number not in self.held:
             self._place(now, call)
 
     def _choose(self, now: int, call: Call) -> ServerView | None:
@@ -662,11 +665,10 @@
             if view.bucket.take(now, reserve, call.urgent):
                 return view
         if call.urgent:  # never cut, nor kept waiting for a slow server: the quickest of late, if in time
-            aim = call.kind.aim
             for view in sorted(order, key=lambda view: (view.last_delay, len(view.out))):
-                if now < view.full_until or view.silent or not view.cold_room(now):
+                if self._shut(now, view):
                     continue
-                quick = view.last_delay < aim
+                quick = view.last_delay < call.kind.aim
                 if (quick or view.bucket.rate is not None) and view.bucket.take(now, reserve, quick):
                     return view
         return None
@@ -677,12 +679,16 @@
         may = (pools is None or number in pools) and (among is None or number in among)
         return view.usable() and number != self.settings.own_number and direct and may
 
+    def _shut(self, now: int, view: ServerView) -> bool:
+        """Whether it gets no call at all: silent, full, or cold with no turn of this gateway open."""
+        cold = now < view.cold_until and (self.ceded or not view.cold_room(now))
+        return view.silent or now < view.full_until or cold
+
     def _open(self, now: int, view: ServerView) -> bool:
         waited = now - next(iter(view.out.values()), now)  # the oldest set-up without an answer
         least = WINDOW_LOSSY if now < self.lossy_until and view.last_delay <= self.l1 else 1
         slow = waited > self.l1 and len(view.out) >= least
-        passed = now < view.pass_until or view.silent or slow
-        return not passed and not view.full_up(self.part, least) and view.cold_room(now)
+        return not (now < view.pass_until or slow or self._shut(now, view) or view.full_up(self.part, least))
 
     def _cold_gap(self, view: ServerView) -> int:
         """Time between this gateway's turns at a cold server, taken as coldest."""
@@ -699,16 +705,18 @@
         budget = rate * rules.fall_time / SECOND or 1.0
         # Turns of gateways that know nothing of each other fall by chance alone: the sum with its spread,
         # those still open from before included, stays within what the rule puts down to chance.
-        bound, fall = budget + 2.0 * sqrt(budget) + 2.0, rules.fall_time
+        bound, sure = [(sqrt(most) + 1.0) ** 2 + 1.0 for most in (budget, COLD_SAFETY * budget)]
+        fall = rules.fall_time
         strict, loose = [max((sqrt(free**2 + 4.0 * bound) - free) ** 2 / 4.0, bound - free * sqrt(size) / 2.0)
                          for free in (COLD_DEVIATIONS, COLD_OPEN_DEVIATIONS)]  # fmt: skip
         due = min(COLD_SAFETY * budget, strict * fall / (fall + COLD_TURN))
-        view.cold_turn = max(COLD_TURN, int(fall * (loose / due - 1.0)))
+        # Several may be open at once as far as the bound stands it where all take the server for too able.
+        turn, more = [int(fall * (most / due - 1.0)) for most in (loose, sure - sqrt(size))]
+        view.cold_turn = max(min(max(COLD_TURN, turn), int(fall * size / due)), more)
         return max(1, int(fall * size / due))
 
     def _stands(self, now: int, event: CallStands) -> None:
-        view = self._answer(now, event.call, event.server)
-        call = self.calls.pop(event.call, None)
+        view, call = self._answer(now, event.call, event.server), self.calls.pop(event.call, None)
         if view is not None:
             view.standing.add(event.call)
             if call is not None:
@@ -745,16 +753,14 @@
         return view if view is not None and view.out.pop(number, None) is not None else None
 
     def _ended(self, now: int, event: AttemptEnded) -> None:
-        view = self.servers.get(event.server)
-        if view is not None:
+        if (view := self.servers.get(event.server)) is not None:
             self._read(now, view, event.report)
             if event.call in view.standing:
                 view.standing.discard(event.call)
                 if event.outcome is Outcome.RESET:  # held back until it is known how many were cut
                     view.cut_at = view.cut_at or now
                     view.pass_until = view.full_until = now + self.pace.review
-        waiting = self._answer(now, event.call, event.server)
-        if waiting is not None:
+        if (waiting := self._answer(now, event.call, event.server)) is not None:
             self._measure(now, waiting, event)
         if event.closed:
             self.calls.pop(event.call, None)
@@ -787,8 +793,7 @@
             view.full_until = now + self.pace.full  # without a free line: its bucket tells how much later
             view.pass_until = max(view.pass_until, view.full_until)
         elif event.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED, Outcome.CONNECT_FAILED):
-            down = event.outcome is Outcome.CONNECT_FAILED
-            self._lost(view, now, max(0, event.delay - self.stall), down)
+            self._lost(view, now, max(0, event.delay - self.stall), event.outcome is Outcome.CONNECT_FAILED)
         elif event.outcome in (Outcome.ERROR, Outcome.RESET) and not event.number_busy:
             # Quick faults are no overload, and most of a flaky server's set-ups succeed: it is passed over
             # only after several in a row, ever longer, as one that always fails is quick and draws calls.
@@ -814,8 +819,7 @@
         most = self.settings.max_retry_after
         # Spread, so that refused callers do not come back as one more peak.
         wait = self.random.randrange(most // 2, most) if most > 1 else 0
-        number = call.event.call
-        self.actions.append(Fail(number, wait) if call.may_have_run else Refuse(number, wait))
+        self.actions.append((Fail if call.may_have_run else Refuse)(call.event.call, wait))
 
     # --- timers and log
 
