--- a/tests/test_control_service.py
+++ b/tests/test_control_service.py
@@ -200,7 +200,7 @@
         write("ready")
         process = Process([str(file)], {})
         self.addCleanup(process.stop)
-        process.wait_for("serving")
+        process.wait_until_serves()
 
         async def follows() -> None:
             proxy = StandIn(1, ports[0], delta=True)
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -282,7 +282,7 @@
         self.addCleanup(os.unlink, path)
         program = Process([path], {})
         self.addCleanup(program.stop)
-        stream = connect(port)
+        stream = connect(port, program)
         self.addCleanup(stream.close)
         connect(control).close()
         self.assertEqual(control_call(control, "GET", "/healthcheck")[0], 200)
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -81,7 +81,7 @@
         self.addCleanup(os.unlink, path)
         self.program = Process([path], {})
         self.addCleanup(self.program.stop)
-        self.tcp = Peer(connect(self.port))
+        self.tcp = Peer(connect(self.port, self.program))
         self.udp = udp(far=self.port)
         self.server = udp(ports[0])
         self.listener = socket.create_server(("127.0.0.1", ports[1]))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -38,7 +38,7 @@
                        "LB_CONFIG": self.file, "LB_LISTEN": f"127.0.0.1:{self.port}"}  # fmt: skip
         second = Process([], environment, self.descriptors())
         self.addCleanup(second.stop)
-        second.wait_for("serving")
+        second.wait_until_serves()
         return second
 
 
