Serve again when a successor is gone, and let a third process succeed the second

A successor killed after the handover left nobody listening: the older had closed its listeners and its door. A third process met the first, was refused, and was a stranger to the second (no ids, no state, no handover). A BYE, CANCEL or release passed to the other process, which is killed before reading it, was lost, so its call stood on. After 30 s the exit looked no more at what is unsent on the wire between them. A listener that pauses for want of descriptors as it is given away raised in the loop. Change: the older one keeps its listeners; when the successor is gone or ends, it listens, serves (not ready: it was told to end) and can be met again until nothing is owed or its 30 s are over, then sends its callers away once more. The process that serves is the one met; the first gives its standing calls to the second when a third waits. Ends of calls that may be unread are carried out again if the other process dies. Turns at cold log servers change hands by `serves`, `ceded` and `stops`, never both at once. Left: a release on the wire to a successor that is killed unread; a third process that waits longer than 2 s for the first's unanswered calls goes on alone.

--- a/mallowquay/assembly/platform.py
+++ b/mallowquay/assembly/platform.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 from datetime import timedelta
 from functools import partial
@@ -15,7 +16,7 @@
 from ..fronts.platform.servers import PlatformServers
 from ..membership.coordinator import Coordinator, read_known, read_servers, tell_servers
 from ..net.clock import UnixTime, monotonic
-from ..operation.twin import Twin
+from ..operation.twin import Packet, Twin
 from ..settings import SOCKETS_KEPT, Config, ConfigError, PlatformConfig
 from .base import Assembly, Heart
 
@@ -31,9 +32,13 @@
 class PlatformAssembly(Assembly):
     """Listen for the platform's callers and follow its coordinator."""
 
-    def __init__(self, heart: Heart, platform: PlatformConfig) -> None:
-        self._heart, self._platform = heart, platform
+    def __init__(
+        self, heart: Heart, platform: PlatformConfig, serve_again: Callable[[], None] = lambda: None
+    ) -> None:
+        self._heart, self._platform, self._serve_again = heart, platform, serve_again
         self._handing: asyncio.Future[None] | None = None
+        self._kept: list[socket.socket] = []  # the listeners of a process that gives way, for the worst
+        self._stopping = self._again = False  # told to end; serves again, since its successor is gone
         self.twin = Twin(heart.loop)
         self.listeners: list[socket.socket] = []
 
@@ -90,6 +95,8 @@
             self.listeners = bind_sockets(port, host, backlog=BACKLOG)
         else:
             self.listeners = [inherited_listener(platform.inherited, platform.listen)]
+        # Turns at cold log servers are used by one of the two: here once the process before has ceded them.
+        heart.decisions.cede_cold(twin.alive)
         front.add_sockets(self.listeners)
         heart.operation.listening = True
         twin.tells = lambda: {
@@ -100,9 +107,10 @@
             "standing": [front.handover.tell_standing(call) for call in calls.standing()],
             "answered": front.answered.ids(),
         }
-        twin.serves = self._give_way
+        twin.serves, twin.stops, twin.alone = self._succeeded, self._go_on, self._alone
+        twin.takes["ceded"], twin.takes["give"] = self._ceded, self._give
         twin.catch_up()
-        twin.send("serves")
+        twin.serve()
         heart.addresses = {"name": platform.name, "at": f"{host}:{port}"}
 
     def _share(self, servers: int) -> None:
@@ -120,30 +128,64 @@
 
     def stop(self) -> None:
         """A successor takes the connections; one that ends is handed none."""
-        self.twin.closing = True
+        self._stopping = self.twin.closing = True
         if self.twin.succeeded:
             self._give_way()
-        else:
+        elif self.twin.alive:
+            self._heart.decisions.cede_cold(True)  # first: the other one uses its turns once it has read this
             self.twin.send("stops")
 
+    # --- the process that a successor has met
+
+    def _succeeded(self) -> None:
+        """The successor serves: turns at cold log servers are its own; callers come to both until SIGTERM.
+
+        Fewer calls than allowed reach a cold log server for so long; the two together never send it more.
+        """
+        self._heart.decisions.cede_cold(True)
+        self.twin.send("ceded")
+        self._give_way()
+
     def _give_way(self) -> None:
         """Hand over what is here, once this process is to end and its successor serves, in either order."""
-        if self.twin.closing and self._handing is None:
+        if self._stopping and self._handing is None:
             log.info("successor_takes_connections")
-            kept: list[socket.socket] = []
             with suppress(OSError):  # no descriptor is left: then nobody listens should the successor go
-                kept += [sock.dup() for sock in self.listeners]
+                self._kept = [sock.dup() for sock in self.listeners]
             self.front.stop()
-            self._handing = asyncio.ensure_future(self._hand_over(kept))
+            self._handing = asyncio.ensure_future(self._hand_over())
 
-    async def _hand_over(self, kept: list[socket.socket]) -> None:
+    async def _hand_over(self) -> None:
         await self.front.handover.hand_over()
-        if self.twin.succeeded:
-            for sock in kept:
-                sock.close()
-        else:  # the successor has gone on the way, and callers still come
-            self.listeners = kept
-            self.front.add_sockets(kept)
+        log.info("successor_has_connections")
+
+    def _give(self, told: Packet) -> None:
+        """A further process waits to succeed the successor, which is met by one at a time."""
+        if self._stopping and self.twin.succeeded:
+            log.info("successor_takes_calls")
+            self.front.handover.give()
+
+    def _go_on(self) -> None:
+        """The successor ends and has ceded its turns, or is gone: nobody else takes the callers that come."""
+        self._heart.decisions.cede_cold(False)
+        if self._handing is not None:
+            self._handing.cancel()
+            self._handing, self._again = None, True
+            self.listeners, self._kept = self._kept, []
+            self.front.add_sockets(self.listeners)
+            self._serve_again()
+
+    def _alone(self) -> None:
+        """The other process is gone, and what it left is settled."""
+        self._go_on()
+        self.twin.closing = self._stopping and not self._again  # a further process may succeed this one
+
+    # --- the process that succeeds
+
+    def _ceded(self, told: Packet) -> None:
+        """The process before uses no more turns at cold log servers."""
+        if not self._stopping:
+            self._heart.decisions.cede_cold(False)
 
     def owes(self) -> bool:
         """What the other process is to hear, and answers of its calls that are written here."""
@@ -158,14 +200,11 @@
             quiet = self._handing.done()
         else:
             quiet = now >= quiet_since
-        return quiet and self.front.settled() and self.servers.settled()
+        return quiet and self.twin.settled and self.front.settled() and self.servers.settled()
 
     def end(self) -> None:
         """Nothing more is read from callers."""
-        for sock in self.listeners:
-            if sock.fileno() >= 0:
-                self._heart.loop.remove_handler(sock)
-                sock.close()
+        self.front.stop()
         for connection in list(self.front.connections):
             connection.closing = True  # what has been read and is not taken yet would have no one to end it
             connection.stream.close()
--- a/mallowquay/fronts/platform/handover.py
+++ b/mallowquay/fronts/platform/handover.py
@@ -67,6 +67,7 @@
         self._handed: dict[int, Connection] = {}  # to the successor, by key
         self._adopted: dict[int, Connection] = {}  # from the process before
         self._succeeds = False  # the process before has begun to hand over
+        self._gives = False  # calls that stand here are the successor's
         self._spawn = Tasks().spawn
         twin.met, twin.gone, twin.connection = front.trim, self._gone, self._adopt
         twin.takes.update(
@@ -77,7 +78,8 @@
             cancel=lambda told: front.cancel(told["id"], passed_on=True),
             bye=lambda told: front.caller_released(told["id"], told["cause"], passed_on=True),
             down=self._ended_here,
-            release=lambda told: front.send_release(told["id"], told["uri"], told["cause"]),
+            release=self._released_there,
+            given=self._adopt_call,
         )
 
     def places(self, most: int, kept: int = SOCKETS_KEPT) -> int:
@@ -141,6 +143,12 @@
             connection.standing.clear()
             self._front.give_up(connection)
 
+    def give(self) -> None:
+        """The successor is to be succeeded, too: it holds what stands here, so that this process can end."""
+        self._gives = True
+        for call in self._calls.standing():
+            self.stands(call)
+
     # --- the process that succeeds
 
     def _adopt(self, told: Packet, descriptor: int) -> None:
@@ -180,14 +188,25 @@
             connection.elsewhere.discard(call_id)
 
     def _ended_here(self, told: Packet) -> None:
-        """The other process heard from a log server that a call which stands here is over."""
+        """The other process heard from a log server that a call is over, which may stand here."""
         call = self._calls.get(told["id"])
         if call is not None and call.state is CallState.STANDING and call.attempt is not None:
             self._calls.ended(call.attempt, release_ending(told["cause"]))
 
+    def _released_there(self, told: Packet) -> None:
+        """The other process has no connection left for a release; it may have given us its call just now."""
+        if self._calls.get(told["id"]) is None:
+            self._front.send_release(told["id"], told["uri"], told["cause"])
+        else:
+            self._ended_here(told)
+
     def stands(self, call: Call) -> None:
         """A call has come to stand here."""
-        self.twin.send("stands", **self.tell_standing(call))
+        told = self.tell_standing(call)
+        if not (self._gives and self.twin.succeeded):
+            self.twin.send("stands", **told)
+        elif self.twin.send("given", **told):
+            self._calls.disown(call.request.id)
 
     def tell_standing(self, call: Call) -> Packet:
         """What the other process is to know of a call that stands, should this one end before it."""
@@ -195,14 +214,20 @@
         request, uri = call.request, getattr(call.caller, "uri", "")
         return {"id": request.id, "server": call.attempt.server, "class": request.class_name, "uri": uri}
 
+    def _adopt_call(self, told: Packet) -> None:
+        """A call that stood in the process before is ours."""
+        carriers = [known for known in self._adopted.values() if told["id"] in known.elsewhere]
+        self._front.adopt_call(told, carriers[0] if carriers else None)
+
     def _gone(self) -> None:
         """The other process has ended: calls that stood there are ours, nothing comes of the others."""
-        self._succeeds = False
-        for call_id, told in self.twin.standing.items():
-            carriers = [known for known in self._adopted.values() if call_id in known.elsewhere]
-            self._front.adopt_call(told, carriers[0] if carriers else None)
+        self._succeeds = self._gives = False
+        for told in self.twin.standing.values():
+            self._adopt_call(told)
         for connection in self._adopted.values():
             connection.elsewhere.clear()
         self._adopted.clear()
         for key in list(self._handed):
             self._closed_there(key)
+        for packet in list(self.twin.unheard.values()):
+            self.twin.takes[packet["t"]](packet)
--- a/mallowquay/net/accepting.py
+++ b/mallowquay/net/accepting.py
@@ -77,6 +77,13 @@
             acceptor = Acceptor(sock, self._handle_connection, self.make_room)
             self._handlers[sock.fileno()] = acceptor.close
 
+    def stop(self) -> None:
+        """Accept no more, and close the listening sockets; others may be added later."""
+        while self._sockets:
+            number, sock = self._sockets.popitem()
+            self._handlers.pop(number)()
+            sock.close()
+
     def make_room(self) -> object:
         """Close what is missed least, if there is any."""
         return None
--- a/mallowquay/operation/readiness.py
+++ b/mallowquay/operation/readiness.py
@@ -50,6 +50,11 @@
         self.stopping = True
         self._send_away("stopping")
 
+    def serve_again(self) -> None:
+        """Told to end, so not ready, this process takes who comes: the one to succeed it is gone."""
+        if not self.drained:
+            self._away_since = None
+
     def _send_away(self, why: str) -> None:
         log.info("callers_sent_away", why=why)
         if self._away_since is None:
--- a/mallowquay/operation/twin.py
+++ b/mallowquay/operation/twin.py
@@ -26,6 +26,7 @@
 DESCRIPTORS_MOST = 4
 EARLY_MOST = 1024  # packets between the other's state and the own front: a few turns of the loop
 MEET_WITHIN = timedelta(seconds=2)
+MEETINGS_MOST = 2  # the process that was met may have closed its door for one that succeeds it just then
 PATH_MOST = 100  # a Unix socket's name has room for 108 bytes
 LAST, MORE = b".", b"+"  # the first byte of a piece
 
@@ -35,6 +36,8 @@
 
 Packet = dict[str, Any]
 
+ENDS = frozenset({"bye", "cancel", "down"})  # words that end a call of the other process
+
 
 class Wire:
     """Packets between the two, in order, with descriptors beside them."""
@@ -178,14 +181,18 @@
         self._heard = asyncio.Event()
         self.ids: set[str] = set()  # requests that are open there
         self.standing: dict[str, Packet] = {}  # of these, what is known of calls that stand
+        # By call, words that the other may not have carried out: should it go now, they are ours.
+        self.unheard: dict[str, Packet] = {}
         self.state: Packet | None = None  # what the process before had to tell
         self.tells: Callable[[], Packet] = dict
         self.takes: dict[str, Callable[[Packet], None]] = {}  # by the kind of packet
         self._early: deque[Packet] | None = deque(maxlen=EARLY_MOST)  # came before the front was up
         self.serves: Callable[[], None] = lambda: None  # the other one is younger, and serves from now on
+        self.stops: Callable[[], None] = lambda: None  # the other one is younger, and ends
         self.connection: Callable[[Packet, int], None] = lambda packet, descriptor: os.close(descriptor)
         self.met: Callable[[], None] = lambda: None
         self.gone: Callable[[], None] = lambda: None
+        self.alone: Callable[[], None] = lambda: None  # and what it leaves has been settled
         self.succeeded = False  # the other one is younger, and serves
         self.closing = False  # this one ends: it is no one to meet
 
@@ -201,23 +208,40 @@
 
     def send(self, kind: str, descriptor: int | None = None, **values: Any) -> bool:
         """Tell the other process, if there is one; False: it will not hear of it."""
-        return self._wire is not None and self._wire.send({"t": kind, **values}, descriptor)
+        if self._wire is None:
+            return False
+        packet = {"t": kind, **values}
+        if kind in ENDS and values["id"] in self.ids:
+            self.unheard[values["id"]] = packet
+        leaves = self._wire.send(packet, descriptor)
+        if kind == "release" and not leaves:
+            self.unheard[values["id"]] = packet
+        return leaves
 
     async def meet(self, folder: str, name: str) -> None:
         """Find the process before and hear its state, or be the first."""
-        self._path = os.path.join(folder, f"mallowquay-{name}")
-        if len(self._path.encode()) > PATH_MOST:
-            log.warning("twin_name_too_long", path=self._path)
+        path = os.path.join(folder, f"mallowquay-{name}")
+        if len(path.encode()) > PATH_MOST:
+            log.warning("twin_name_too_long", path=path)
             return
+        for _ in range(MEETINGS_MOST):
+            if self.state is not None or not await self._meet(path):
+                break
+        self._path = path
+        if not self.alive:
+            self._listen()
+
+    async def _meet(self, path: str) -> bool:
+        """False if nobody is there; else it told its state, or it has gone or closed its door meanwhile."""
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         try:
             sock.settimeout(MEET_WITHIN.total_seconds())
-            sock.connect(self._path)
+            sock.connect(path)
         except OSError as fault:  # nobody, or a stale file
             sock.close()
             log.info("no_process_to_succeed", fault=fault.strerror or str(fault))
-            self._listen()
-            return
+            return False
+        self._heard.clear()
         self._wire = Wire(self._loop, sock, self._take, self._lost)
         self.send("hello")
         try:
@@ -226,10 +250,12 @@
         except TimeoutError:
             log.error("twin_says_nothing")
             self._wire.close()
+            return False
+        return True
 
     def _listen(self) -> None:
         """Be found by the next process: under the name at once, whatever file was there."""
-        if self._listener is not None:
+        if self._listener is not None or not self._path:
             return
         own = f"{self._path}-{os.getpid()}"
         listener = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
@@ -248,13 +274,28 @@
         self._listener = listener
         self._loop.add_handler(listener, self._accept, IOLoop.READ)
 
+    def serve(self) -> None:
+        """This one serves: from now on the next process meets it, and not the one before."""
+        self._listen()
+        self.send("serves")
+
+    def _listen_no_more(self) -> None:
+        if self._listener is not None:
+            self._loop.remove_handler(self._listener)
+            self._listener.close()
+            self._listener = None
+
     def _accept(self, listener: object, events: int) -> None:
         assert self._listener is not None
+        if self.alive:  # one at a time: the next one waits until the other process has ended
+            self._loop.remove_handler(self._listener)
+            self.send("give")
+            return
         try:
             sock, _ = self._listener.accept()
         except OSError:
             return
-        if self.alive or self.closing:  # one successor at a time
+        if self.closing:
             sock.close()
             return
         self._wire = Wire(self._loop, sock, self._take, self._lost)
@@ -282,9 +323,12 @@
         elif kind == "serves":
             log.info("successor_serves")
             self.succeeded = True
+            self._listen_no_more()
             self.serves()
         elif kind == "stops":
-            self.succeeded = False  # whoever ends itself is handed nothing
+            if self.succeeded:
+                self.succeeded = False  # whoever ends itself is handed nothing
+                self.stops()
         elif kind == "taken":
             self.ids.add(packet["id"])
         elif kind == "stands":
@@ -292,6 +336,7 @@
         elif kind == "over":
             self.ids.discard(packet["id"])
             self.standing.pop(packet["id"], None)
+            self.unheard.pop(packet["id"], None)
             self._pass_on(packet)
         else:
             self._pass_on(packet)
@@ -317,7 +362,12 @@
         self.ids.clear()
         self.gone()
         self.standing.clear()
-        if not self.closing:
+        self.unheard.clear()
+        self.alone()
+        if self._listener is not None:  # whoever waits there is heard now
+            self._loop.remove_handler(self._listener)
+            self._loop.add_handler(self._listener, self._accept, IOLoop.READ)
+        elif not self.closing:
             self._listen()
 
     def taken(self, call_id: str) -> None:
--- a/mallowquay/service.py
+++ b/mallowquay/service.py
@@ -40,6 +40,7 @@
         self.heart = Heart(settings)
         self.done = asyncio.Event()
         self.stopped_at: timedelta | None = None
+        self._sent_away_at: timedelta | None = None  # callers, the last time; None while they are served
         self._looked_at = monotonic() - STOOD_STILL  # whether it may end
         self._owed_at = self._looked_at  # something was owed, as far as was looked
         self._starting: asyncio.Future[None] | None = None
@@ -53,7 +54,7 @@
         heart = self.heart
         chosen: list[Assembly] = []
         if settings.platform is not None:
-            chosen.append(PlatformAssembly(heart, settings.platform))
+            chosen.append(PlatformAssembly(heart, settings.platform, self._serve_again))
         sip = None
         if settings.sip is not None:
             from .assembly.sip import SipAssembly
@@ -175,15 +176,28 @@
     def stop(self) -> None:
         """SIGTERM: finish what was taken, and go on accepting for the time that callers may still come."""
         if self.stopped_at is not None:
+            if self._sent_away_at is None:  # it serves again: its calls are finished, and no more taken
+                self._send_away()
             return
         log.info("stopping", unanswered=self.heart.calls.unanswered)
         self.stopped_at = monotonic()
-        self.heart.operation.stop()
+        self._send_away()
         if self._starting is None:
             self._wind_down()
         else:  # whatever its start waits for may take longer than it is given to end
             self._starting.cancel()
 
+    def _send_away(self) -> None:
+        self._sent_away_at = monotonic()
+        self.heart.operation.stop()
+
+    def _serve_again(self) -> None:
+        """The successor is gone: who comes is served while this process stays, though it is not ready."""
+        if self._sent_away_at is not None:
+            log.info("serving_again")
+            self._sent_away_at = None
+            self.heart.operation.serve_again()
+
     def _wind_down(self) -> None:
         for assembly in self.assemblies:
             assembly.stop()
@@ -193,14 +207,18 @@
         assert self.stopped_at is not None
         now, calls = monotonic(), self.heart.calls
         # Whoever sends the end of a call that stands is to find this process, which knows its other side.
-        if now >= self.stopped_at + STOP_STAYS:
+        over = now >= self.stopped_at + STOP_STAYS
+        if over:
             owed = calls.unanswered > 0
         else:
             owed = calls.pending > 0 or any(assembly.owes() for assembly in self.assemblies)
+        if self._sent_away_at is None and (over or not owed):
+            self._send_away()
         if owed or now - self._looked_at >= STOOD_STILL:
             self._owed_at = now
         self._looked_at = now
-        quiet_since = max(self.stopped_at + STOP_ACCEPTS, calls.last_offer + STOP_LOOKS, self._owed_at)
+        sent_away_at = self._sent_away_at or now
+        quiet_since = max(sent_away_at + STOP_ACCEPTS, calls.last_offer + STOP_LOOKS, self._owed_at)
         if not owed and all(assembly.settled(quiet_since) for assembly in self.assemblies):
             self.done.set()
             self.end()  # in this turn of the loop: a call that is taken after this look has no one to end it
