Let nothing stand for callers whose close lies unread; judge several real processes

Causes, found by reading and each forced by a test: an answer that came while its caller's close, half-close or reset lay unread was written to nobody, and the call stood with no one to end it; one that could not be written at all had no owner; a BYE went into a connection whose close was unread and was lost; an id given up again before any attempt lost the rest of its 300 ms; an id that came again ahead of its first connection's unread close got 482, and one that had ended so counted as answered. Change: `Calls.stood` asks whether the caller is there, as an attempt does before it begins; `write_answer` and `write_release` own what does not leave; `_give_up` keeps a wait that still runs; a set-up meets the close of the connection its id was last on. Tests: six in test_crossings.py, each seen failing (three of four calls left standing after SIGSTOP, TimeoutError, `[Attempt] != []`). rigs/platform runs several real processes under SIGTERM, SIGKILL, SIGSTOP, SIGHUP, a failing coordinator and log servers that misbehave; a checker reads only what callers, log servers and the coordinator saw; each of its checks is seen failing on a history. The short form runs behind the others in the suite.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON = $(VENV)/bin/python
 CHECKED = quincestand mallowquay tests benchmarks rigs
 
-.PHONY: together-endurance book-endurance site-endurance closings-endurance build dev lint test endurance dimension-check xds-endurance fleet-endurance fleet-size copies-endurance copies-cost fleet-test site-variants run
+.PHONY: platform-endurance together-endurance book-endurance site-endurance closings-endurance build dev lint test endurance dimension-check xds-endurance fleet-endurance fleet-size copies-endurance copies-cost fleet-test site-variants run
 
 build:
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -19,13 +19,18 @@
 
 test:
 	OPENBLAS_NUM_THREADS=1 $(PYTHON) -m pytest -q -n auto --durations=10 --ignore tests/test_fleet_endurance.py --ignore tests/test_together_endurance.py \
-		--deselect tests/test_sip.py::ShortRun tests
+		--deselect tests/test_sip.py::ShortRun --deselect tests/test_crossings_platform.py::Endurance tests
 	# each takes all cores, or goes by the real clock: not beside the others
-	$(PYTHON) -m pytest -q tests/test_sip.py::ShortRun tests/test_fleet_endurance.py tests/test_together_endurance.py
+	$(PYTHON) -m pytest -q tests/test_sip.py::ShortRun tests/test_crossings_platform.py::Endurance \
+		tests/test_fleet_endurance.py tests/test_together_endurance.py
 
 endurance:
 	$(PYTHON) -m rigs.sip_peers --calls 100000
 
+# Several real processes on the platform's front, killed, stopped, restarted and moved: half a minute a seed.
+platform-endurance:
+	PYTHONPATH=. $(PYTHON) benchmarks/platform_endurance.py --seed $(SEED)
+
 # Formulas against emulator and real program: in full some ten minutes on 8 cores, SHORT=1 under 45 s.
 dimension-check:
 	OPENBLAS_NUM_THREADS=1 PYTHONPATH=. $(PYTHON) benchmarks/dimension_check.py $(if $(SHORT),--short)
--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -307,10 +307,13 @@
         attempt = call.attempt
         self._finish(call, FinalAnswer(verdict))
         self._do(lambda: self._decisions.report(CallerLeft(request_id)))
-        if attempt is not None:
-            self._given_up[request_id] = self._clock() + call.release_wait
+        now = self._clock()
+        not_before = call.not_before if attempt is None else now + call.release_wait
+        if not_before > now:  # also of one that no attempt is out for: it may still await a release
+            self._given_up[request_id] = not_before
             if len(self._given_up) > GIVEN_UP_MOST:
                 del self._given_up[next(iter(self._given_up))]
+        if attempt is not None:
             self._side.withdraw(attempt)
             self._do(lambda: self._decisions.report(Ended(attempt, Ending.CALLER_LEFT, closed=True)))
         else:
@@ -334,10 +337,13 @@
         self.figures.attempts += 1
 
     def stood(self, attempt: Attempt, description: str, load: Load | None = None) -> bool:
-        """The log server answered; False if the attempt is no longer out."""
+        """The log server answered; False if the attempt is no longer out, or its caller has gone."""
         call = self._calls.get(attempt.request.id)
         if call is None or call.attempt is not attempt or call.state is not CallState.TRYING:
             return False
+        if self.presence(call) is Presence.GONE:  # nobody would ever hear of it, or end it
+            self.caller_left(call.request.id)
+            return False
         call.state = CallState.STANDING if self.promises is None else CallState.PROMISING
         self._attempt_over(attempt, None)
         self._do(lambda: self._decisions.report(Stood(attempt)))
--- a/mallowquay/fronts/platform/connection.py
+++ b/mallowquay/fronts/platform/connection.py
@@ -80,13 +80,17 @@
 
     def write_answer(self, call_id: str, parts: list[bytes]) -> None:
         """Send the answer by which a call stands; before it has left whole the caller cannot know of it."""
-        if self.write(parts) and self.handed is None and self.stream.writing():
+        if not self.write(parts):
+            if self.handed is None:
+                self.leaving.add(call_id)  # released as the connection's end is met
+        elif self.handed is None and self.stream.writing():
             self.leaving.add(call_id)
             when_written(self.stream, lambda: self.leaving.discard(call_id))
 
     def write_release(self, release: Release) -> bool:
-        """Send a release; it is owed until it has left whole."""
-        if not self.write(release.parts):
+        """Send a release; it is owed until it has left whole. False where nobody would read it."""
+        gone = self.handed is None and unread(self.stream) is Unread.END
+        if gone or not self.write(release.parts):
             return False
         if self.handed is None and self.stream.writing():
             self.releases[release.call_id] = release
--- a/mallowquay/fronts/platform/front.py
+++ b/mallowquay/fronts/platform/front.py
@@ -80,7 +80,9 @@
         """Write the final answer on the connection of the set-up."""
         connection = self.connection
         assert connection is not None, "an adopted call has had its answer"
-        if call.request.id in connection.unanswered and connection.open:
+        # Not where its connection has closed, read or not: then the id may come again.
+        went = answer.verdict is Verdict.CANCELLED and connection.presence() is Presence.GONE
+        if call.request.id in connection.unanswered and connection.open and not went:
             self.front.note_answered(call.request.id)
         connection.unanswered.discard(call.request.id)
         if answer.verdict is Verdict.STANDS:
@@ -396,6 +398,8 @@
 
     def _invite(self, connection: Connection, message: Message, call_id: str) -> None:
         request = self._to_request(message, call_id)
+        if call_id not in connection.unanswered:
+            self._meet_close(call_id)
         known = self._calls.get(call_id)
         if call_id in connection.elsewhere:
             return  # sent again as it was: the process before answers it
@@ -419,6 +423,16 @@
             self._calls.refuse(call_id)
         # else sent again as it was: it will have its answer
 
+    def _meet_close(self, call_id: str) -> None:
+        """The connection on which an id's answer is due may have closed, which is read after this set-up."""
+        call = self._calls.get(call_id)
+        if call is None or not isinstance(call.caller, PlatformCaller) or call.caller.connection is None:
+            return
+        before = call.caller.connection
+        if call_id in before.unanswered and before.presence() is Presence.GONE:
+            before.stream.close()
+            self.give_up(before)
+
     def _to_request(self, message: Message, call_id: str) -> Request:
         name = message.get("P-Kind")
         kind = self._terms.classes.get(name)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -200,6 +200,27 @@
         self.assertGreaterEqual(cases, 1000)
         self.assertEqual(begun, [])
 
+    def test_answers_whose_callers_went_unread_leave_nothing_standing(self) -> None:
+        """Term: what has stood is released; its caller went before it could know, and will not end it."""
+        gone = [(Leaver(self.port), next(self.ids), way) for way in Leaver.WAYS]
+        for caller, call_id, _ in gone:
+            caller.sock.sendall(INVITE.format(call_id, 0).encode())
+        end = time.monotonic() + WAIT
+        while not all(call_id in self.at for _, call_id, _ in gone):
+            self.assertLess(time.monotonic(), end)
+            self.serve(answer=False)
+        self.stopped()
+        for caller, call_id, way in gone:
+            self.at[call_id].say("up", call_id, text="x")
+            caller.leave(way, call_id)
+        self.goes_on()
+        end = time.monotonic() + 1
+        while time.monotonic() < end and len(self.lines) < len(gone):
+            self.serve(answer=False)
+        down = [str(line["ref"]) for _, line in self.lines if line["t"] == "down"]
+        ways = {call_id: way for _, call_id, way in gone}
+        self.assertEqual(sorted(down), sorted(ways), {way for ref, way in ways.items() if ref not in down})
+
     def test_a_burst_longer_than_the_buffer_with_its_cancels_behind_starts_nothing(self) -> None:
         ids = [next(self.ids) for _ in range(200)]
         burst = "".join(INVITE.format(call_id, 0) for call_id in ids)
@@ -456,6 +477,88 @@
         self.calls.tick()
         self.assertEqual([again.request.id for again in self.side.begun], ["00000000000000d5"])
 
+    async def test_also_when_it_was_given_up_once_more_before_any_attempt(self) -> None:
+        """Term: 300 ms after a cancel before a resend, however often the id comes and goes meanwhile."""
+        first, _ = await self.connected()
+        attempt = await self.set_up(first, "00000000000000d6")
+        first.close()
+        await self.until(lambda: self.side.withdrawn == [attempt])
+        self.side.begun.clear()
+        second, connection = await self.connected()
+        second.sendall(INVITE.format("00000000000000d6", 0).encode())
+        second.close()  # read behind the set-up, so it is never placed
+        await self.until(lambda: connection not in self.front.connections)
+        self.assertEqual((self.calls.pending, self.side.begun), (0, []))
+        third, _ = await self.connected()
+        third.sendall(INVITE.format("00000000000000d6", 0).encode())
+        await self.until(lambda: self.calls.get("00000000000000d6") is not None)
+        await self.turns()
+        self.assertEqual(self.side.begun, [])
+        self.skew += timedelta(seconds=1)
+        self.calls.tick()
+        self.assertEqual([again.request.id for again in self.side.begun], ["00000000000000d6"])
+
+    async def test_an_answer_whose_caller_went_unread_makes_nothing_stand(self) -> None:
+        """Term: nothing is left standing; its caller's end lies in the socket as the log server answers."""
+        for number, way in enumerate(("close", "half-close", "reset")):
+            call_id = f"00000000000001d{number}"
+            sock, connection = await self.connected()
+            attempt = await self.set_up(sock, call_id)
+            if way == "half-close":
+                sock.shutdown(socket.SHUT_WR)
+            else:
+                if way == "reset":
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                sock.close()
+            self.assertFalse(self.calls.stood(attempt, "x"), way)  # so the servers' side releases it
+            await self.until(lambda known=connection: known not in self.front.connections)
+            self.assertEqual(self.calls.pending, 0, way)
+            self.assertFalse(self.front.answered.holds(call_id), way)  # so the id may come again
+
+    async def test_an_id_that_comes_again_ahead_of_its_connection_s_close_is_taken(self) -> None:
+        """Its first connection has closed, and what came on the second is read before that close is."""
+        first, before = await self.connected()
+        attempt = await self.set_up(first, "00000000000000d9")
+        second, _ = await self.connected()
+        before.stream.io_loop.remove_handler(before.stream.socket)  # its close is met after the set-up
+        first.close()
+        second.sendall(INVITE.format("00000000000000d9", 0).encode())
+        await self.until(lambda: self.side.withdrawn == [attempt])
+        await self.until(lambda: self.calls.get("00000000000000d9") is not None)
+        second.settimeout(0.05)
+        with self.assertRaises(TimeoutError):  # it is not refused
+            await asyncio.to_thread(second.recv, 1)
+        self.side.begun.clear()
+        self.skew += timedelta(seconds=1)
+        self.calls.tick()
+        self.assertEqual([again.request.id for again in self.side.begun], ["00000000000000d9"])
+
+    async def test_a_call_whose_answer_could_not_be_written_is_released(self) -> None:
+        """Term: nothing is left standing; its caller does not read, and its buffer here is full."""
+        sock, connection = await self.connected()
+        attempt = await self.set_up(sock, "00000000000000d7")
+        await self.full(sock, connection)
+        connection.stream.max_write_buffer_size = 1
+        self.calls.stood(attempt, "x")
+        await self.until(lambda: connection not in self.front.connections)
+        self.assertEqual((self.side.released, self.calls.pending), (["00000000000000d7"], 0))
+
+    async def test_a_release_whose_caller_closed_unread_comes_on_another(self) -> None:
+        """Term: what is over is released within 1 s; a call that stands is bound to no connection."""
+        sock, _ = await self.connected()
+        attempt = await self.set_up(sock, "00000000000000d8")
+        self.calls.stood(attempt, "x")
+        other, _ = await self.connected()
+        other.settimeout(1)
+        other.sendall(OPTIONS.encode())
+        kept = bytearray()
+        self.assertEqual((await asyncio.to_thread(read_sip, other, kept))["cseq"], "1 OPTIONS")
+        await asyncio.to_thread(read_sip, sock, bytearray())  # with bytes unread it would be a reset
+        sock.close()
+        self.calls.ended(attempt, Ending.COMPLETED)  # in this turn: the close is not read
+        release = await asyncio.to_thread(read_sip, other, kept)
+        self.assertEqual((release[""][:4], release["call-id"]), ("BYE ", "00000000000000d8"))
+
     async def test_a_release_that_left_is_not_sent_again_when_its_connection_closes(self) -> None:
         sock, connection = await self.connected()
         attempt = await self.set_up(sock, "00000000000000d2")
--- /dev/null
+++ b/tests/test_crossings_platform.py
@@ -0,0 +1,159 @@
+"""Several real processes of the platform's front under faults, and the checker of what outsiders saw."""
+
+from __future__ import annotations
+
+import sys
+import unittest
+from collections.abc import Callable
+from dataclasses import replace
+
+from support import ROOT
+
+from rigs.platform.checker import Checker, Violation
+from rigs.platform.history import History, Seen
+
+sys.path.insert(0, str(ROOT / "benchmarks"))
+from platform_endurance import judged
+
+A, B, C = "s-0000000a", "s-0000000b", "s-0000000c"
+OVER = 30.0  # when each history ends, in seconds
+
+
+def kept() -> list[Seen]:
+    """A history in which every promise is kept: three calls, a drain and a process that comes back."""
+    seen = [
+        Seen(0.0, "start", "p"), Seen(0.5, "ready", "p"), Seen(0.6, "line_open", "p", text="line"),
+        # Full, then a timeout, then the answer; its log server ends the call.
+        Seen(1.0, "invite", "p", "x", number=2.0),
+        Seen(1.01, "new", "p", "x", A), Seen(1.02, "down_out", "p", "x", A, "34"),
+        Seen(1.03, "new", "p", "x", B), Seen(1.5, "down_in", "p", "x", B, "16"),
+        Seen(1.81, "new", "p", "x", A), Seen(1.82, "up", "p", "x", A, "made"),
+        Seen(1.83, "final", "p", "x", "made", "200"),
+        Seen(3.0, "release_out", "p", "x", A, "16"), Seen(3.1, "bye_in", "p", "x"),
+        # Its caller ends it.
+        Seen(4.0, "invite", "p", "y", number=2.0),
+        Seen(4.01, "new", "p", "y", B), Seen(4.02, "up", "p", "y", B, "also"),
+        Seen(4.03, "final", "p", "y", "also", "200"),
+        Seen(5.0, "bye_out", "p", "y"), Seen(5.1, "down_in", "p", "y", B, "16"),
+        # Its caller gives up.
+        Seen(6.0, "invite", "p", "z", number=2.0), Seen(6.01, "new", "p", "z", B),
+        Seen(6.1, "caller_end", "p", "z", text="cancel"), Seen(6.1, "cancel_out", "p", "z"),
+        Seen(6.11, "final", "p", "z", "", "487"), Seen(6.12, "down_in", "p", "z", B, "16"),
+        Seen(10.0, "event", server=C, text="1"), Seen(10.1, "told", "p", server=C, text="1"),
+        Seen(15.0, "term", "p"), Seen(15.2, "invite", "p", "t", number=2.0),
+        Seen(15.3, "final", "p", "t", "", "503"),
+        Seen(16.0, "exit", "p"), Seen(16.1, "start", "p"), Seen(17.0, "ready", "p"),
+        Seen(OVER, "over"),
+    ]  # fmt: skip
+    return seen
+
+
+def found(seen: list[Seen], history: History | None = None) -> list[Violation]:
+    history = history or History()
+    history.seen = sorted(seen, key=lambda one: one.at)
+    return Checker(history).violations()
+
+
+def without(seen: list[Seen], *gone: tuple[str, str]) -> list[Seen]:
+    return [one for one in seen if (one.call, one.what) not in gone]
+
+
+def moved(seen: list[Seen], call: str, what: str, at: float) -> list[Seen]:
+    """The last thing of that kind that was seen of a call, at another time."""
+    index = max(place for place, one in enumerate(seen) if (one.call, one.what) == (call, what))
+    return [*seen[:index], replace(seen[index], at=at), *seen[index + 1 :]]
+
+
+def more(*extra: Seen) -> Callable[[list[Seen]], list[Seen]]:
+    return lambda seen: [*seen, *extra]
+
+
+# What is spoilt in the good history, and the one check that must say so.
+PLANTED: list[tuple[str, Callable[[list[Seen]], list[Seen]]]] = [
+    ("no_answer", lambda seen: without(seen, ("y", "final"), ("y", "up"), ("y", "bye_out"))),
+    ("after_term", lambda seen: without(seen, ("t", "final"))),
+    ("late_answer", lambda seen: moved(moved(seen, "x", "final", 3.06), "x", "release_out", 3.07)),
+    ("second_answer", more(Seen(2.0, "final", "p", "x", "", "503"))),
+    ("unmade_answer", lambda seen: [replace(one, text="y's") if (one.call, one.what) == ("x", "up") else one
+                                    for one in seen if (one.call, one.what) != ("x", "release_out")]
+                      + [Seen(1.9, "down_in", "p", "x", A, "16")]),
+    ("release_of_nothing", more(Seen(16.0, "bye_in", "p", "t"))),
+    ("second_release", more(Seen(3.5, "bye_in", "p", "x"))),
+    ("two_out", more(Seen(1.1, "new", "p", "x", C), Seen(1.11, "down_out", "p", "x", C, "17"))),
+    ("two_out", more(Seen(4.05, "new", "p", "w", C), Seen(4.0, "invite", "p", "w", number=0.5),
+                     Seen(4.06, "new", "p", "w", A), Seen(4.1, "final", "p", "w", "", "500"))),
+    ("too_soon", lambda seen: moved(moved(moved(seen, "x", "new", 1.74), "x", "up", 1.75),
+                                    "x", "final", 1.76)),
+    ("too_soon", more(Seen(6.2, "invite", "p", "z", number=2.0), Seen(6.3, "new", "p", "z", A),
+                      Seen(6.31, "down_out", "p", "z", A, "17"), Seen(6.32, "final", "p", "z", "", "500"))),
+    ("too_many", more(*(Seen(1.022 + number / 1000, what, "p", "x", C, "17")
+                        for number, what in enumerate(("new", "down_out") * 2)))),
+    ("for_nobody", more(Seen(6.5, "new", "p", "z", A), Seen(6.51, "down_out", "p", "z", A, "17"))),
+    ("caller_unreleased", lambda seen: moved(seen, "x", "bye_in", 4.1)),
+    ("caller_unreleased", lambda seen: without(seen, ("x", "bye_in"))),
+    ("server_unreleased", lambda seen: moved(seen, "y", "down_in", 6.1)),
+    ("server_unreleased", more(Seen(6.13, "up", "p", "z", B, "too late"))),
+    ("to_drained", more(Seen(10.7, "invite", "p", "v", number=0.5), Seen(10.71, "new", "p", "v", C),
+                        Seen(10.72, "down_out", "p", "v", C, "17"),
+                        Seen(10.73, "final", "p", "v", "", "500"))),
+    ("not_accepted", more(Seen(12.0, "refused", "p"))),
+    ("not_accepted", more(Seen(15.3, "refused", "p"))),
+    ("not_ready", lambda seen: [replace(one, at=26.2) if one.at == 17.0 else one for one in seen]),
+]  # fmt: skip
+
+
+class Checks(unittest.TestCase):
+    """Each check fails where its promise is broken, and only it."""
+
+    def test_nothing_is_found_where_all_is_kept(self) -> None:
+        self.assertEqual(found(kept()), [])
+
+    def test_each_planted_fault_is_found_by_its_check(self) -> None:
+        for number, (check, spoil) in enumerate(PLANTED):
+            with self.subTest(check, number=number):
+                self.assertEqual({broken.check for broken in found(spoil(kept()))}, {check})
+
+    def test_no_check_is_without_a_planted_fault(self) -> None:
+        text = (ROOT / "rigs/platform/checker.py").read_text()
+        planted = {check for check, _ in PLANTED}
+        self.assertEqual(text.count("Violation(") + 1, len(planted))  # one of them has two names
+        for check in planted:
+            self.assertIn(f'"{check}"', text)
+
+    def test_only_what_the_page_excuses_is_excused(self) -> None:
+        silent = without(kept(), ("y", "final"), ("y", "up"), ("y", "bye_out"))
+        for excuse in (Seen(4.5, "killed", "p"), Seen(4.5, "caller_end", "p", "y", text="close")):
+            self.assertEqual(found([*silent, excuse]), [])
+        self.assertEqual(found([*kept(), Seen(12.0, "killed", "p"), Seen(12.1, "refused", "p"),
+                                Seen(13.0, "start", "p"), Seen(13.5, "ready", "p"),
+                                Seen(16.05, "refused", "p")]), [])  # fmt: skip
+        for none in (Seen(4.5, "killed", "other"), Seen(3.9, "killed", "other"),
+                     Seen(6.5, "caller_end", "p", "y", text="close")):  # fmt: skip
+            self.assertEqual([broken.check for broken in found([*silent, none])], ["no_answer"])
+
+    def test_the_rig_s_lateness_and_a_process_kept_from_running_extend_limits_and_no_more(self) -> None:
+        late = moved(moved(kept(), "x", "final", 3.06), "x", "release_out", 3.07)
+        for measured, checks in ((0.02, []), (0.005, ["late_answer"])):
+            of_rig, of_process = History(), History()
+            of_rig.late.append((3.0, measured))
+            of_process.kept["p"].append((2.5, measured))
+            for history in (of_rig, of_process):
+                self.assertEqual([broken.check for broken in found(late, history)], checks)
+        stopped = [*late, Seen(2.0, "stopped", "p"), Seen(2.3, "continued", "p")]
+        self.assertEqual(found(stopped), [])
+        later = moved(moved(moved(kept(), "x", "final", 3.8), "x", "release_out", 3.85), "x", "bye_in", 3.9)
+        once = [*later, Seen(1.1, "stopped", "p"), Seen(1.6, "continued", "p")]
+        self.assertEqual([broken.check for broken in found(once)], ["late_answer"])
+        self.assertEqual(found([*once, Seen(3.3, "stopped", "p"), Seen(3.7, "continued", "p")]), [])
+
+
+class Endurance(unittest.TestCase):
+    """Three processes, terminated, killed, stopped and moved; log servers cut, refused, drained, mute."""
+
+    def test_what_outsiders_saw_was_kept(self) -> None:
+        for seed in (1, 2):
+            told = judged(seed, processes=3, seconds=6)
+            print(f"\nplatform: {told}")
+            self.assertGreater(told["finals"].get("200", 0), 50, told)
+            self.assertGreater(sum(told["faults"].values()), 3, told)
+            self.assertEqual((told["violations"], told["exits"]), (0, []), told)
