Sites: use what is left in each second after a loss; a slow site is heard again

Ruled out: lease flicker. Virtual worlds hid it behind redials and a loss known at once. Change: what calm lent is kept; what members hold that are out with their site comes off the capacity first; marks in the lower half; a call that was to find out and was not sent gives its turn on. A view is told only once the book that it carries is read. Slow by 2 s not mended.

--- a/mallowquay/assembly/sites.py
+++ b/mallowquay/assembly/sites.py
@@ -43,6 +43,9 @@
     def leads(self) -> bool:
         """Whether this member may number changes."""
 
+    def catch_up(self) -> bool:
+        """Read what the member knows as agreed; False where it is not on disk yet."""
+
     def watch(self, kind: str, told: Any) -> None:
         """`told` is called after each change of this kind's entries."""
 
@@ -135,7 +138,12 @@
         if self._ended:
             return
         now = monotonic()
-        self.machine.view_told(self._node.holds() if hasattr(self._node, "member") else None, now)
+        held = None
+        if hasattr(self._node, "member"):
+            # The view carries the book: whoever has a lease again by it goes by no part of before.
+            self._book.catch_up()
+            held = self._node.holds()
+        self.machine.view_told(held, now)
         if now >= self._ratings_due:
             self._ratings_due = now + RATINGS_EVERY
             self.machine.ratings_told(self._heart.decisions.ratings())
--- a/mallowquay/book/node.py
+++ b/mallowquay/book/node.py
@@ -47,9 +47,9 @@
 
     def age(self) -> timedelta | None:
         """How old what is known here can be at most; None: nothing is known yet."""
-        return self._fleet.member.views.age(self._clock()) if self._catch_up() else None
+        return self._fleet.member.views.age(self._clock()) if self.catch_up() else None
 
-    def _catch_up(self) -> bool:
+    def catch_up(self) -> bool:
         """What the member knows as agreed is what readers see; False where it is not on disk yet."""
         member = self._fleet.member
         if member.unsaved:
@@ -86,7 +86,7 @@
 
     def _step(self) -> None:
         member, scribe = self._fleet.member, self.scribe
-        if self._catch_up():
+        if self.catch_up():
             scribe.tick(self._clock(), member.views.leader or (self._fleet.name if self._leads() else ""))
             if scribe.turns and self._leads():
                 self._fleet.turn_page()
--- a/mallowquay/emulator/fleet/sites.py
+++ b/mallowquay/emulator/fleet/sites.py
@@ -253,14 +253,18 @@
 class SitesWorld:
     """All of it."""
 
-    def __init__(self, seed: int, with_sites: bool = True, hook: bool = True, ceiling: float = 0.9) -> None:
+    def __init__(
+        self, seed: int, with_sites: bool = True, hook: bool = True, ceiling: float = 0.9,
+        members: int = MEMBERS_A_SITE, down_after: timedelta = DOWN_AFTER, redial: float = REDIAL,
+    ) -> None:  # fmt: skip
+        self.down_after, self.redial = down_after, redial
         self.chance = random.Random(seed)
         self.callers = random.Random(seed + 7)  # of their own: the same with and without sites
         self.now = 1000 * SECOND
         self.begin = self.now
         self.with_sites, self.hook = with_sites, hook
         self.districts = {
-            f"{district[0]}{index + 1}": district for district in DISTRICTS for index in range(MEMBERS_A_SITE)
+            f"{district[0]}{index + 1}": district for district in DISTRICTS for index in range(members)
         }
         self.settings = settings_of(len(self.districts))
         self.terms = terms_of(ceiling)
@@ -360,7 +364,7 @@
                         self.view_number += 1
                 else:
                     since = self.silent_since.setdefault(one.name, self.now)
-                    if self.now - since >= DOWN_AFTER and one.name not in self.down:
+                    if self.now - since >= self.down_after and one.name not in self.down:
                         self.down.add(one.name)
                         self.view_number += 1
             members = tuple(
@@ -511,7 +515,7 @@
         name = f"c{self._calls}"
         self.tallies[name] = Tally(kind, self.now, district)
         place = self.callers.random()
-        again = self.callers.random() < REDIAL
+        again = self.callers.random() < self.redial
         self._offer(name, kind, district, place, 1 if again else 0, self._calls)
 
     def _offer(self, name: str, kind: int, district: str, place: float, redials: int, number: int) -> None:
--- a/mallowquay/sites/machine.py
+++ b/mallowquay/sites/machine.py
@@ -146,6 +146,7 @@
         self._measured = timedelta(0)
         self._word_due, self._word_number = now, 0
         self._trickle = {site: now for site in self.sites}
+        self._trying: dict[str, str] = {}  # the call that last went to find out, until it is sent
         self._ratings: dict[str, Rating] = {}
         # The leader's.
         self._planner = Planner()
@@ -206,6 +207,7 @@
             for site in ways:
                 if self._tries(site, request, now) and (among := self._numbers(site, request)):
                     self.trickled += 1
+                    self._trying[site] = request.id
                     return site, among
         free = self._siteless if request.among is None else self._siteless & request.among
         return ("", free) if free else None
@@ -231,7 +233,9 @@
     def _tries(self, site: str, request: Request, now: timedelta) -> bool:
         """Whether this call may find out if a silent site answers again: few do, and none that matters."""
         opinion = self.evidence.opinions[site]
-        if not opinion.own_doubt or now < self._trickle[site] or not self._held and site != self.home:
+        # At home also who never doubted it, or does no longer: else none might ever hear that it is back.
+        shut = opinion.own_doubt or site == self.home and opinion.state is SiteState.LOST
+        if not shut or now < self._trickle[site] or not self._held and site != self.home:
             return False
         if not self._repeatable(request):
             return False
@@ -253,6 +257,8 @@
         """An attempt leaves."""
         key = attempt.request.id, attempt.index
         site = self.evidence.sent(key, attempt.server, now)
+        if site is not None and self._trying.get(site) == attempt.request.id:
+            del self._trying[site]
         ticket = self._tickets.pop(attempt.request.id, None)
         if ticket is not None and ticket[0] == site:
             pass  # it was charged when it was let in
@@ -275,6 +281,10 @@
         ticket = self._tickets.pop(call.request.id, None)
         if ticket is not None:
             self.buckets[ticket[0]].give_back()
+        for site in [site for site, request_id in self._trying.items() if request_id == call.request.id]:
+            # The module did not send it, as of a log server that it holds for bad: the next one may find out.
+            del self._trying[site]
+            self._trickle[site] = now
 
     def over(self, call: Any, attempt: Attempt, ending: Ending, now: timedelta) -> None:
         """A call that stood is over: nothing is asked of it, nothing is done to it."""
@@ -432,10 +442,30 @@
             if not here:
                 rate = 0.0
             elif self._others_out(site):
-                rate = min(rate, self.parts.rate(site, self._held) * self.terms.ceiling)
+                rate = min(rate, self.parts.rate(site, self._held) * self._ceiling(site, now))
             # Only the own site's line may grow so: others' parts are small, and many use them.
             self.buckets[site].tune(rate, now, calm and site == self.home)
 
+    def _ceiling(self, site: str, now: timedelta) -> float:
+        """Of its part, what each may use so that those who are there load the site to its ceiling together.
+
+        What is held for members that are out with their site is used by nobody: it is taken off the capacity
+        first, and only what is then left above the ceiling off the others' parts.
+        """
+        body = self._parts_entry[1]
+        if body is None:
+            return self.terms.ceiling
+        used = sum(part.held for part in body.parts if part.site == site and not self._away(part.member, now))
+        return min(1.0, self.terms.ceiling * self._capacity[site] / used) if used > 0 else self.terms.ceiling
+
+    def _away(self, member: str, now: timedelta) -> bool:
+        """Its site is out, and it says nothing, or that it has no lease: it uses no part of others' sites."""
+        district = self.districts.get(member, "")
+        if member == self.name or district not in self._capacity or not self._is_out(district):
+            return False
+        heard = self.evidence.words.get(member)
+        return heard is None or now - heard.at > FRESH or not heard.word.holds
+
     def _others_out(self, site: str) -> bool:
         """Callers of another site may come in here: from the first sign on, the ceiling is what counts."""
         return any(other != site and self._is_out(other) for other in self.sites)
--- a/mallowquay/sites/shed.py
+++ b/mallowquay/sites/shed.py
@@ -22,9 +22,11 @@
 DEPTH = timedelta(milliseconds=600)  # of a bucket, as time at its rate
 DEPTH_LEAST = 2.0  # set-ups: a thin part still lets single calls through
 OVERDRAW = 1.7  # of the depth, by the class that is worth most
-CALM = 1.0  # of the depth: while no site is out, all marks are lower by this, so chance refuses nobody
-MARK_FIRST, MARK_LAST = 0.35, 0.75  # of the depth, that the second level and the last must leave
-CUT_MARK = 0.6  # a level that is agreed to be refused takes only what would be lost else
+CALM = 0.75  # of the depth: while no site is out, all marks are lower by this, so chance refuses nobody
+# Of the depth, that the second level and the last must leave. What is worth most has its overdraw besides, so
+# they are low: above them a bucket has to hold what chance leaves unasked for some tenths of a second.
+MARK_FIRST, MARK_LAST = 0.1, 0.5
+CUT_MARK = 0.35  # a level that is agreed to be refused takes only what would be lost else
 MISSED_MOST = 10_000
 SHARE_SPAN = 5 * SECOND  # memory of a tenant's rate
 OVER_SHARE = 1.1
@@ -116,13 +118,15 @@
         `calm`: no site is out, so what comes in bunches may wait at the log servers as it did before.
         """
         self._fill(now)
+        was, ends = self.depth, self.calm > 0 and not calm
         self.calm = CALM if calm else 0.0
-        was = self.depth
         self.rate = rate
         self.depth = max(rate * (DEPTH / SECOND), DEPTH_LEAST) if rate > 0 else 0.0
         self.least = -OVERDRAW * self.depth
         if not was and self.depth:
             self.tokens = self.depth * 0.5
+        if ends:  # what calm lent is not asked back by refusing all that comes as a site is lost
+            self.tokens = max(self.tokens, self.marks[1] * self.depth)
         self.tokens = max(min(self.tokens, self.depth), self.least)
 
     def _fill(self, now: timedelta) -> None:
