--- a/benchmarks/small_days.py
+++ b/benchmarks/small_days.py
@@ -3,8 +3,11 @@
 It judges nothing: gate, rules and figures are the kit's. Run it in a work tree whose files stay as they are.
 
     python benchmarks/small_days.py SITE --seeds 101-110 --out FOLDER [--days roll+mass,split+mass] [--jobs 2]
+                                    [--cpus 4,5,6,7]
 
 A play that stands in FOLDER is not played again. Needs the kit beside the repository (exit code 2 without).
+The kit binds each process to a core: beside its other runs, name cores that those do not use, else processes
+starve ('did not wait for anything in 20 s', with hardly any processor time used), which says nothing of them.
 """
 
 from __future__ import annotations
@@ -29,16 +32,17 @@
 RULES = re.compile(r"^(rules kept.*|.*rule.*broken.*|.*crash.*|void.*)$", re.MULTILINE)
 
 
-def play(site: Path, day: str, seed: int, nodes: int, folder: Path, build: bool) -> Path:
+def play(site: Path, day: str, seed: int, nodes: int, folder: Path, cpus: str) -> Path:
     """Play one day unless it was played; its output stands in the file that comes back."""
     said = folder / f"{site.stem}-{day}-{nodes}-{seed}.txt"
     if not said.exists():
         logs = folder / f"{said.stem}.logs"
-        options = ["--rough", day, "--seed", str(seed), "--nodes", str(nodes), "--logs", str(logs)]
+        options = ["--no-build", "--rough", day, "--seed", str(seed), "--nodes", str(nodes)]
+        options += ["--logs", str(logs), *(["--cpus", cpus] if cpus else [])]
         begun = said.with_suffix(".begun")
         with begun.open("w") as output:
             subprocess.run(
-                [str(KIT), str(site), *options, *([] if build else ["--no-build"])],
+                [str(KIT), str(site), *options],
                 stdout=output, stderr=subprocess.STDOUT, timeout=PLAY_MOST.total_seconds(), check=False,
             )  # fmt: skip
         begun.rename(said)
@@ -72,6 +76,7 @@
     parser.add_argument("--days", default=DAYS)
     parser.add_argument("--nodes", type=int, default=30)
     parser.add_argument("--jobs", type=int, choices=(1, 2), default=2, help="at a time")
+    parser.add_argument("--cpus", default="", help="cores for the kit's processes, as it takes them")
     parser.add_argument("--out", type=Path, required=True)
     parser.add_argument("--table", action="store_true", help="only of what was played")
     options = parser.parse_args()
@@ -87,7 +92,7 @@
         day, seed = place
         said = options.out / f"{options.site.stem}-{day}-{options.nodes}-{seed}.txt"
         if not options.table:
-            said = play(options.site, day, seed, options.nodes, options.out, build=False)
+            said = play(options.site, day, seed, options.nodes, options.out, options.cpus)
         made = row(day, seed, said.read_text()) if said.exists() else []
         if made and not options.table:
             print(*made, sep="  ", flush=True)
