End links, events and xDS places in order: last words, overtaken dials, bounds

A member that ended in order told its clients elsewhere a gap, against docs/events.md: its links closed before its last word, and what waited in a link at its close was dropped. A dial under way outlived the member's place in the list, its life or the links. A member wrote its disk after it had given up the lock. A book of 512 KiB could not cross a link, whose frames had 256 KiB, so whoever needed it whole never got it. A poll whose answer is not read, and a gRPC stream that asks for nothing, held one of the places for ever. Change: the listener outlives a lack of descriptors; `Node.on_end` says last words while links stand, `Link.finish` hands the kernel what waits; a dial compares generation and greeting after the answer; nothing is written once ended; a frame holds the largest book, and 4 KiB before a greeting; 10 s for a poll's answer and for a stream's first word. Reviewed and found right: second address, Consul's watch, copies. Left: a vanished host's link ends only by the kernel's bounds; frames waiting on a link are bounded by number, not bytes.

--- a/mallowquay/assembly/events.py
+++ b/mallowquay/assembly/events.py
@@ -74,6 +74,7 @@
         self._gathering = self._ended = False
         if self._member is not None:  # before the member starts: what begins with its life is to hear of it
             self._member.node.on_life.append(self._life)
+            self._member.node.on_end.append(self._leave)
             self._member.node.channel(CHANNEL, self._heard)
 
     async def start(self) -> None:
@@ -183,12 +184,17 @@
         self.listener.pump()
 
     def end(self) -> None:
-        """The last word to the others, and the end of all streams."""
-        self.machine.leave(monotonic())
-        self.listener.pump()
+        """The end of all streams."""
+        if self._member is None:
+            self._leave()
         self.listener.close()
         self._ended = True
 
+    def _leave(self) -> None:
+        """The last word, to the others and to clients here: a member's links close before this part ends."""
+        self.machine.leave(monotonic())
+        self.listener.pump()
+
     def purge(self) -> None:
         """A business day has closed: what is kept of it is gone."""
         self.machine.purge(monotonic())
--- a/mallowquay/controlplane/streams.py
+++ b/mallowquay/controlplane/streams.py
@@ -29,6 +29,7 @@
 TTL_FEATURE = "xds.config.supports-resource-ttl"  # a client that tells it lets resources run out
 MESSAGE_MOST = 1024 * 1024  # bytes of a request
 WRITE_WITHIN = timedelta(seconds=10)
+ASK_WITHIN = timedelta(seconds=10)  # a stream that has asked for nothing by then gives its place to others
 ENCODED_MOST = 256  # responses kept as they are written: all streams that hold the same share them
 FAULT_MOST = 200  # characters of a refusal that are logged
 SECOND = timedelta(seconds=1)
@@ -138,7 +139,7 @@
 
     def __init__(self, hub: Hub, context: Any, delta: bool) -> None:
         self._hub, self._context, self._delta = hub, context, delta
-        self.stir = asyncio.Event()
+        self.stir, self._asks = asyncio.Event(), asyncio.Event()
         self.machines: dict[Kind, World | Delta] = {}
         self._lease: Lease | None = None
         self.node = ""
@@ -158,6 +159,7 @@
 
     async def _read(self, requests: AsyncIterator[Any]) -> None:
         async for request in requests:
+            self._asks.set()
             if not self.node and request.HasField("node"):
                 self._named(request.node)
             kind = KINDS.get(request.type_url)
@@ -198,6 +200,11 @@
         return Ask(kind, names, version=request.version_info, nonce=request.response_nonce, refusal=refusal)
 
     async def _write(self) -> None:
+        try:
+            async with asyncio.timeout(ASK_WITHIN / SECOND):
+                await self._asks.wait()
+        except TimeoutError:
+            raise TooMuch("nothing was asked for too long", "stream") from None
         await self.stir.wait()
         await asyncio.sleep(self._hub.first_turn() / SECOND)
         while True:
--- a/mallowquay/controlplane/xds.py
+++ b/mallowquay/controlplane/xds.py
@@ -8,7 +8,10 @@
 from typing import Any
 
 import structlog
+from tornado import gen
 from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.util import TimeoutError as TornadoTimeout
 from tornado.web import Application, RequestHandler
 
 from ..core.model import Level, Rating, Server, ServerStatus
@@ -21,6 +24,7 @@
 PATH = "/v3/discovery:endpoints"
 BODY_MOST = 64 * 1024
 IDLE_MOST = timedelta(minutes=2)
+WRITE_WITHIN = timedelta(seconds=10)  # a proxy that has not read its answer by then is let go
 FAULT_MOST = 200  # characters of a stranger that are repeated
 WEIGHT_MOST = 100  # weights are parts of the strongest server: coarse, so that noise makes no new version
 HEALTH = {Level.NORMAL: "HEALTHY", Level.WARNING: "DEGRADED", Level.CRITICAL: "UNHEALTHY"}
@@ -113,7 +117,7 @@
     def initialize(self, endpoints: Endpoints) -> None:
         self._endpoints = endpoints
 
-    def post(self) -> None:
+    async def post(self) -> None:
         """Answer one poll: 200 with the resources, 304 when there is nothing new, 400 with the fault."""
         try:
             answer = self._endpoints.answer(json.loads(self.request.body))
@@ -121,13 +125,14 @@
             known = fault if isinstance(fault, BadRequest) else BadRequest(str(fault), "body")
             self.set_status(400)
             told = {**known.told(), "fault": known.what[:FAULT_MOST]}
-            self.finish({"message": str(fault)[:FAULT_MOST], **told})
-            return
+            answer = {"message": str(fault)[:FAULT_MOST], **told}
         if answer is None:
             self.set_status(304)
-            self.finish()
-        else:
-            self.finish(answer)
+        written = self.finish(answer)
+        try:
+            await gen.with_timeout(WRITE_WITHIN, written, quiet_exceptions=StreamClosedError)
+        except (TornadoTimeout, StreamClosedError):
+            self.request.connection.stream.close()  # type: ignore[union-attr]
 
 
 def serve(endpoints: Endpoints, address: tuple[str, int]) -> HTTPServer:
--- a/mallowquay/fleet/links.py
+++ b/mallowquay/fleet/links.py
@@ -22,10 +22,11 @@
 import structlog
 from tornado import gen
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
-from tornado.tcpserver import TCPServer
 from tornado.util import TimeoutError as TornadoTimeout
 
+from ..book.model import BYTES_MOST as BOOK_MOST
 from ..core.model import Clock
+from ..net.accepting import AcceptingServer
 from ..net.rate_limited import RateLimitedLogger
 from ..net.streams import ConnectFailed, open_stream, quiet
 from ..net.tasks import Tasks
@@ -53,7 +54,8 @@
 log = structlog.get_logger(part=__name__)
 
 MILLISECOND = timedelta(milliseconds=1)
-FRAME_MOST = 256 * 1024  # a view of a thousand members is 60 KiB
+FRAME_MOST = BOOK_MOST + 256 * 1024  # a view whole: its book, and of a thousand members 60 KiB
+GREETING_MOST = 4 * 1024  # of whoever has not greeted yet, nothing longer is taken
 FRAME_WITHIN = timedelta(seconds=2)  # from its first byte
 GREETING_WITHIN = timedelta(seconds=2)
 WRITE_WITHIN = timedelta(seconds=5)  # else the far end does not read
@@ -147,6 +149,15 @@
         timer = self.stream.io_loop.add_timeout(WRITE_WITHIN, self.stream.close)
         done.add_done_callback(lambda future: self._written(future, timer))
 
+    def finish(self) -> None:
+        """Close; of what waits, so much leaves as the kernel takes now: the last word is among it."""
+        waiting = b"".join([*self.urgent, *self.short, *self.bulk])
+        try:
+            self.stream.write(waiting)
+        except (StreamClosedError, StreamBufferFullError):
+            pass
+        self.stream.close()
+
     def _written(self, future: asyncio.Future[None], timer: object) -> None:
         self.stream.io_loop.remove_timeout(timer)
         if not future.cancelled() and future.exception() is None:
@@ -161,7 +172,7 @@
     return any(rumour.state is not State.UP for rumour in getattr(frame, "rumours", ()))
 
 
-class _Listener(TCPServer):
+class _Listener(AcceptingServer):
     def __init__(self, taken: Callable[[IOStream], None]) -> None:
         super().__init__(max_buffer_size=2 * FRAME_MOST)
         self._taken = taken
@@ -229,7 +240,9 @@
         self._closed = True
         self._dialling.clear()
         self._listener.stop()
-        self.relink()
+        for link in self.links.values():
+            link.finish()
+        self.links.clear()
 
     # --- dialling
 
@@ -242,30 +255,36 @@
                 tries = 0
                 await asyncio.sleep(0.05)
                 continue
-            if await self._dial(name):
+            if await self._dial(name, generation):
                 continue
             tries += 1
             longest = min(DIAL_LONGEST, DIAL_FIRST * 2 ** min(tries, 10))
             # Full jitter: 'Exponential Backoff And Jitter' (Brooker, 2015).
             await asyncio.sleep(longest.total_seconds() * self._chance.random())
 
-    async def _dial(self, name: str) -> bool:
+    async def _dial(self, name: str, generation: int) -> bool:
         hello = self._owner.greeting(name)
         if hello is None:
             return False
         try:
             stream = await open_stream(self._addresses[name], DIAL_WITHIN, 2 * FRAME_MOST)
-        except (ConnectFailed, OSError, KeyError):
+        except ConnectFailed:
             self.counts["dials_failed"] += 1
             return False
         try:
             hold_little(stream)
             data = encode(hello)
             stream.write(len(data).to_bytes(4, "big") + data)
-            answer = await gen.with_timeout(GREETING_WITHIN, read_frame(stream), quiet_exceptions=ENDINGS)
-        except (TornadoTimeout, StreamClosedError, Garbled, OSError, asyncio.IncompleteReadError):
+            answer = await gen.with_timeout(
+                GREETING_WITHIN, read_frame(stream, GREETING_MOST), quiet_exceptions=ENDINGS
+            )
+        except (TornadoTimeout, Garbled, OSError):
             self._spoilt(stream, "greeting_not_answered", name)
             return False
+        if self._dialling.get(name) != generation or self._owner.greeting(name) != hello:
+            stream.close()  # while it was greeted, it left the list, or the life that greets ended
+            self.counts["greetings_overtaken"] += 1
+            return False
         if isinstance(answer, Refused):
             stream.close()
             self.counts["greetings_refused"] += 1
@@ -289,12 +308,17 @@
     async def _take(self, stream: IOStream) -> None:
         try:
             hold_little(stream)
-            hello = await gen.with_timeout(GREETING_WITHIN, read_frame(stream), quiet_exceptions=ENDINGS)
+            hello = await gen.with_timeout(
+                GREETING_WITHIN, read_frame(stream, GREETING_MOST), quiet_exceptions=ENDINGS
+            )
         except (TornadoTimeout, StreamClosedError, Garbled, OSError):
             self._spoilt(stream, "not_greeted", "")
             return
         finally:
             self._ungreeted.pop(stream, None)
+        if self._closed:
+            stream.close()
+            return
         if not isinstance(hello, Hello) or hello.to != self.name or hello.name not in self._addresses:
             self._spoilt(stream, "stranger", str(getattr(hello, "name", ""))[:64])
             return
@@ -385,15 +409,16 @@
     stream.max_write_buffer_size = 2 * FRAME_MOST
 
 
-async def read_frame(stream: IOStream) -> Frame:
-    """The next frame. Errors: StreamClosedError, Garbled, Tornado's TimeoutError if it is not whole in
-    time.
+async def read_frame(stream: IOStream, most: int = FRAME_MOST) -> Frame:
+    """The next frame, which may have `most` bytes.
+
+    Errors: StreamClosedError, Garbled, Tornado's TimeoutError if it is not whole in time.
     """
     first = await stream.read_bytes(1)
 
     async def rest() -> bytes:
         size = int.from_bytes(first + await stream.read_bytes(3), "big")
-        if not 0 < size <= FRAME_MOST:
+        if not 0 < size <= most:
             raise Garbled(f"a frame of {size} bytes", "frame")
         return await stream.read_bytes(size)
 
--- a/mallowquay/fleet/node.py
+++ b/mallowquay/fleet/node.py
@@ -51,6 +51,7 @@
         self.on_life: list[Callable[[Life], None]] = []  # another life began, on this disk or a new one
         self.on_begun: list[Callable[[], None]] = []  # the member is there, before its first step
         self.on_step: list[Callable[[], None]] = []  # after each look at what is due
+        self.on_end: list[Callable[[], None]] = []  # the last that is said, while there are links
         self._channels: dict[str, Callable[[str, bytes], None]] = {}
         self._life: Life | None = None
         self._loop = IOLoop.current()
@@ -100,6 +101,8 @@
 
     def _carry(self, sends: Sends) -> None:
         """Write what must last, then send what rests on it."""
+        if self._ended:  # the folder is given up: another process may have it
+            return
         member = self.member
         if member.unsaved and not self._save():
             sends = []  # nothing that is not on disk is promised; it is said anew when it is asked for anew
@@ -241,7 +244,9 @@
             self._carry(self.member.leave())
 
     def end(self) -> None:
-        """Close everything."""
+        """Close everything, after the last words."""
+        for last in self.on_end:
+            last()
         self._ended = True
         if self._timer is not None:
             self._loop.remove_timeout(self._timer)
