--- a/benchmarks/small_days.py
+++ b/benchmarks/small_days.py
@@ -6,8 +6,8 @@
                                     [--cpus 4,5,6,7]
 
 A play that stands in FOLDER is not played again. Needs the kit beside the repository (exit code 2 without).
-Beside other runs of the kit, name cores that those do not use: processes that share a core with them may starve
-('did not wait for anything in 20 s', with hardly any processor time used).
+Beside other runs of the kit, name cores that those do not use: processes that share a core with them may
+starve ('did not wait for anything in 20 s', with hardly any processor time used).
 """
 
 from __future__ import annotations
