Let log servers of the upgrade tests speak while a process starts

Its stand-in said nothing from the first process's start on; once a start takes long on a busy machine the program rightly leaves such a connection as mute (2.6 s), and the stand-in's release went into a closed one. Nothing asserted is left out.

--- a/tests/support.py
+++ b/tests/support.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import json
+import queue
 import select
 import socket
+import threading
 from collections.abc import Sequence
+from contextlib import suppress
 
 from rigs.process import ROOT, START_WAIT, WAIT, Process, connect, free_port, run_line
 
@@ -141,6 +144,10 @@
             line["d"] = text
         self.raw(json.dumps(line).encode() + b"\n")
 
+    def end(self) -> None:
+        """The test is over."""
+        self.listener.close()
+
     def reset(self, listening: bool = False) -> None:
         """Die as a process does: reset the connection, and refuse new ones."""
         assert self.sock is not None
@@ -150,6 +157,52 @@
         self.sock.close()
 
 
+class SpeakingLogServer(LogServer):
+    """One that is heard of on every connection, accepted by the test or not, as real ones are.
+
+    Where a test waits for another process to start, which may take long on a machine at work, connections
+    of the processes before would be left otherwise: a log server that says nothing for 2.6 s is mute.
+    """
+
+    EVERY = 0.1  # seconds; what it says is free, and sets no rhythm that it would have to keep
+    FREE = b'{"t":"ack","ref":"","f":{}}\n'
+
+    def __init__(self, number: int, port: int = 0) -> None:
+        super().__init__(number, port)
+        self.listener.settimeout(self.EVERY)
+        self.came: queue.SimpleQueue[socket.socket] = queue.SimpleQueue()
+        self.wait, self.ended = START_WAIT, threading.Event()
+        self.thread = threading.Thread(target=self._speak)
+        self.thread.start()
+
+    def _speak(self) -> None:
+        heard: list[socket.socket] = []
+        while not self.ended.is_set():
+            try:
+                sock, _ = self.listener.accept()
+            except TimeoutError:
+                for sock in heard:
+                    with suppress(OSError):  # it closed
+                        sock.sendall(self.FREE)
+                continue
+            except OSError:  # it died, as tests have it
+                return
+            sock.settimeout(WAIT)
+            heard.append(sock)
+            self.came.put(sock)
+
+    def accept(self) -> None:
+        """The next connection that has come."""
+        self.sock, self.wait = self.came.get(timeout=self.wait), WAIT
+        self.kept = b""
+        self.say("gauge", "", load="x0:1000;x1:1000")
+
+    def end(self) -> None:
+        self.ended.set()
+        self.thread.join()
+        super().end()
+
+
 def spoken_to(servers: Sequence[LogServer]) -> LogServer:
     """The one of them to which something has come first; nothing within the wait is a fault."""
     if all(server.silent(0) for server in servers):
