Upgrade processes in the platform's rig: stopped, killed and succeeded once more

Change: every second process of the rig is started on a listening socket that is held for it; a fault 'upgrade' starts a second process beside it, tells the first to end, and stops or kills either, or starts a third, at drawn moments. The checker excuses around the kill of one of two only what that one may have held: calls that were open at that moment, and words within 0.3 s of it. A set-up that waited in a held listener's queue for a process that was killed and started anew is not judged as late. Checked: each excuse is held by a test on both sides of its bound.

--- a/rigs/platform/checker.py
+++ b/rigs/platform/checker.py
@@ -19,6 +19,9 @@
 ACCEPTS, AFTER_TERM = 0.4, 0.6  # so long after SIGTERM connections, and requests, come at the latest
 NOT_RUN = ("17", "47", "34", "102")  # causes after which a call may go on at once
 CLOSES = ("close", "half-close", "reset")
+# Around the kill of one process of an upgrade nobody can tell which of the two had read a word, or had told
+# the other of it: no more is excused than what came so shortly before or after.
+TELLS = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +96,10 @@
         process = one.first.process
         return self.dead(process, one.first.at) or self.went(process, one.first.at, until, "killed")
 
+    def between(self, process: str, *times: float) -> bool:
+        """Whether one of an upgrade was killed so close to one of these that a word went with it."""
+        return any(self.went(process, at - TELLS, at + TELLS, "half_killed") for at in times)
+
     # --- the caller's side
 
     def answers(self, one: Offered) -> Iterator[Violation]:
@@ -103,14 +110,17 @@
         slack = self.history.slack(first.process, first.at, due + slack)  # it may be stopped again by then
         for second in finals[1:]:
             yield Violation("second_answer", second.at, first.call, f"{finals[0].text}, then {second.text}")
-        if finals and finals[0].at > due + slack:
+        # One that waited in a held listener's queue for a process that was started anew came before its time.
+        waited = self.dead(first.process, first.at)
+        if finals and finals[0].at > due + slack and not waited:
             late = f"{finals[0].at - first.at:.3f} s of {first.number} s, slack {slack:.3f}"
             yield Violation("late_answer", finals[0].at, first.call, late)
         if finals:
             return
         gave_up = end is not None and end.at <= due + slack
         sent_again = bool(one.of("resent")) and one.until < inf  # it crossed the close of its connection
-        if gave_up or sent_again or self.broke(one, due) or due + slack > self.end:
+        killed = self.went(first.process, first.at - TELLS, due + slack, "half_killed")  # it may have had it
+        if gave_up or sent_again or killed or self.broke(one, due) or due + slack > self.end:
             self.excused += 1
             return
         term = self.went(first.process, first.at - AFTER_TERM - slack, first.at, "term")
@@ -121,12 +131,13 @@
         """Nothing after the final answer but one release, and that only of a call that stood."""
         byes, finals, end = one.of("bye_in"), one.of("final"), one.caller_end
         stood = any(final.text == "200" for final in finals)
+        ups = [up.at for up in one.of("up")]
         unread = end is not None and end.text in CLOSES  # the answer may have crossed the close
         for bye in byes if not stood and not unread else ():
-            if not self.broke(one, bye.at):
+            if not self.broke(one, bye.at) and not self.between(one.first.process, *ups):
                 yield Violation("release_of_nothing", bye.at, one.first.call, "no answer stood")
         for before, bye in zip(byes, byes[1:], strict=False):
-            if not self.went(one.first.process, before.at, bye.at, "killed", "exit"):
+            if not self.went(one.first.process, before.at, bye.at, "killed", "exit", "half_killed"):
                 yield Violation("second_release", bye.at, one.first.call, "released twice")
 
     def made(self, one: Offered) -> Iterator[Violation]:
@@ -152,6 +163,7 @@
         most += self.history.slack(process, over.at, over.at + most)
         lost = self.went(process, stood.at, over.at + RELEASED_AT_LAST, "killed", "exit")
         byes = [bye for bye in one.of("bye_in") if bye.at >= stood.at]
+        lost = lost or self.between(process, stood.at, over.at)
         if byes and byes[0].at <= over.at + most or lost or over.at + most > self.end:
             return
         seen = f"{byes[0].at - over.at:.3f} s after" if byes else "never"
@@ -177,7 +189,7 @@
         whole = self.by_call[call]  # an id that comes again waits for its attempt before
         for new in news:
             before = [seen for seen in whole if seen.what == "new" and seen.at < new.at]
-            if not before or self.went(process, before[-1].at, new.at, "killed", "exit"):
+            if not before or self.went(process, before[-1].at, new.at, "killed", "exit", "half_killed"):
                 continue
             last = before[-1]
             ended = next((seen for seen in whole[whole.index(last) + 1 :]
@@ -231,7 +243,7 @@
             most += self.history.slack(process, since, since + most)
             if over is not None and over.at <= since + most or since + most > self.end:
                 continue
-            if self.broke(one, since + RELEASED_AT_LAST):
+            if self.broke(one, since + RELEASED_AT_LAST) or self.between(process, up.at, since):
                 continue
             seen = f"{over.at - since:.3f} s after" if over else "never"
             why = f"{up.server}, down {seen}, caller {end.text if end else 'waits'}"
--- a/rigs/platform/history.py
+++ b/rigs/platform/history.py
@@ -34,7 +34,7 @@
         self.seen: list[Seen] = []
         self.late: list[tuple[float, float]] = []  # at, and by how much
         self.kept: dict[str, list[tuple[float, float]]] = defaultdict(list)  # by process: at, for how long
-        self.pids: dict[str, int] = {}
+        self.pids: dict[int, str] = {}  # whose each is
 
     def add(
         self,
@@ -57,7 +57,7 @@
             now = time.monotonic()
             if now - due > TICK / 2:
                 self.late.append((now, now - due))
-            for name, pid in self.pids.items():
+            for pid, name in list(self.pids.items()):
                 with suppress(OSError, IndexError, ValueError):
                     waited = int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
                     more, before[pid] = waited - before.get(pid, 0.0), waited
--- a/rigs/platform/rig.py
+++ b/rigs/platform/rig.py
@@ -5,7 +5,9 @@
 import asyncio
 import json
 import random
+import shutil
 import signal
+import socket
 import tempfile
 import time
 from collections.abc import Coroutine
@@ -35,6 +37,8 @@
 MANNERS = {"waits": 62, "cancel": 12, "cancel_behind": 4, "close": 8, "half-close": 6, "reset": 8}
 FAULTS = (
     "term",
+    "upgrade",
+    "upgrade",
     "kill",
     "stop",
     "stop",
@@ -48,6 +52,9 @@
     "move",
     "mute",
 )
+# What befalls an upgrade. Its processes share a listening socket and count as one.
+UPGRADES = ("plain", "plain", "old_stopped", "new_stopped", "old_killed", "new_killed", "third")
+STAYS = 35.0  # seconds that a process with calls that stand may take to end
 
 
 class Line:
@@ -136,12 +143,16 @@
 class Node:
     """One real process under its name and address, and its callers' way to it."""
 
-    def __init__(self, name: str, history: History, coordinator: Coordinator) -> None:
+    def __init__(self, name: str, history: History, coordinator: Coordinator, held: bool) -> None:
         self.name, self.history, self.coordinator = name, history, coordinator
         self.readers: set[asyncio.Future[None]] = set()  # of its lines
         self.port, self.feeds = free_port(), [free_port(), free_port()]
+        # Held as the platform holds it for upgrades; else each process binds its own.
+        self.held = socket.create_server(("127.0.0.1", self.port), backlog=512) if held else None
         self.file = Path(tempfile.mkdtemp(prefix="mallowquay-")) / "config.json"
-        self.process: Process | None = None
+        self.process: Process | None = None  # the newest
+        self.beside: list[Process] = []  # of an upgrade
+        self.faulty: list[str] = []  # how processes of upgrades ended that should not have
         self.lines: list[Line] = []
         self.passed = self.busy = False
         self.life = 0
@@ -158,14 +169,10 @@
 
     async def start(self) -> None:
         """Start it, and wait until it passes a test. It has then been admitted."""
-        self.write_config()
         self.life, self.passed = self.life + 1, False
         self.lines = []
         self.history.add("start", self.name)
-        # In the platform's environment: what started the rig must not reach the program.
-        self.process = Process([], {"LB_CONFIG": str(self.file), "LB_LISTEN": f"127.0.0.1:{self.port}",
-                                    "LB_NAME": self.name})  # fmt: skip
-        self.history.pids[self.name] = self.process.process.pid
+        self.process = self.begin()
         self.new_until = self.old_until = time.monotonic() + 3600
         end = time.monotonic() + 20
         while not self.passed and time.monotonic() < end:
@@ -179,6 +186,84 @@
                     self.lines.append(line)
             await asyncio.sleep(0.02)
 
+    def begin(self) -> Process:
+        """One more process, in the platform's environment: what started the rig must not reach it."""
+        self.write_config()
+        environment = {"LB_CONFIG": str(self.file), "LB_LISTEN": f"127.0.0.1:{self.port}",
+                       "LB_NAME": self.name}  # fmt: skip
+        descriptors: tuple[int, ...] = ()
+        if self.held is not None:
+            descriptors = (self.held.fileno(),)
+            environment |= {"LB_SOCKET_FD": str(self.held.fileno()), "TMPDIR": str(self.file.parent)}
+        process = Process([], environment, descriptors)
+        self.history.pids[process.process.pid] = self.name
+        return process
+
+    async def succeed(self) -> Process:
+        """One more process beside those that are there, as soon as it serves."""
+        assert self.process is not None
+        self.beside.append(self.process)
+        process = self.process = self.begin()
+        end = time.monotonic() + 20
+        while "serving" not in process.text() and process.process.poll() is None:
+            if time.monotonic() > end:
+                break
+            await asyncio.sleep(0.005)
+        return process
+
+    async def upgrade(self, chance: random.Random) -> None:
+        """A second process, or a third, takes the place of the one that is there, whatever befalls them."""
+        old, way = self.process, chance.choice(UPGRADES)
+        assert old is not None
+        self.history.add("upgrade", self.name, text=way)
+        new = await self.succeed()
+        await asyncio.sleep(chance.uniform(0, 0.4))
+        told = way not in ("old_killed", "new_killed") or chance.random() < 0.7
+        if told:
+            old.terminate()
+            await asyncio.sleep(chance.choice((0.0, chance.uniform(0, 0.4))))
+        if way in ("old_stopped", "new_stopped"):
+            await self.stand_still(old if way == "old_stopped" else new, chance)
+        elif way == "old_killed":
+            self.kill_one(old)
+        elif way == "new_killed":
+            self.kill_one(new)
+            if told:
+                await asyncio.sleep(chance.choice((0.0, chance.uniform(0, 0.4))))
+                await self.succeed()
+            else:
+                self.process = old
+        elif way == "third":
+            await self.succeed()
+            new.terminate()
+        end = time.monotonic() + STAYS
+        self.beside = [one for one in {*self.beside, old, new} if one is not self.process]
+        while time.monotonic() < end and any(one.process.poll() is None for one in self.beside):
+            await asyncio.sleep(0.01)
+        for one in self.beside:
+            text = one.text()
+            code = self.ended(one)
+            if code != 0 and not (code == -signal.SIGKILL and "killed" in way):
+                self.faulty.append(f"{way}: {self.name} ended with {code}: {text[-1500:]}")
+        self.beside = []
+
+    async def stand_still(self, process: Process, chance: random.Random) -> None:
+        self.history.add("stopped", self.name)
+        process.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(chance.uniform(0.1, 0.6))
+        process.process.send_signal(signal.SIGCONT)
+        self.history.add("continued", self.name)
+
+    def kill_one(self, process: Process) -> None:
+        """One of an upgrade: the other one answers for what it has been told."""
+        self.history.add("half_killed", self.name)
+        process.process.kill()
+
+    def ended(self, process: Process) -> int:
+        """It has ended, or does so now."""
+        self.history.pids.pop(process.process.pid, None)
+        return process.stop()
+
     async def dial(self) -> Line | None:
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -221,10 +306,20 @@
         assert self.process is not None
         self.new_until = self.old_until = time.monotonic() + (0.1 if self.new_until > time.monotonic() else 0)
         self.text = self.process.text()
-        self.code = self.process.stop()
-        self.history.pids.pop(self.name, None)
+        self.code = self.ended(self.process)
         self.passed = False
 
+    def close(self) -> None:
+        """Nothing of it is left."""
+        for process in [*self.beside, *([] if self.process is None else [self.process])]:
+            if process.process.poll() is None:
+                self.ended(process)
+        for reading in self.readers:
+            reading.cancel()
+        if self.held is not None:
+            self.held.close()
+        shutil.rmtree(self.file.parent)
+
 
 class Rig:
     """All of it, for so many seconds."""
@@ -237,7 +332,10 @@
         self.servers = [self.server(number, number % 2) for number in range(4)]
         self.all_servers = list(self.servers)
         self.coordinator = Coordinator(self.servers, self.history)
-        self.nodes = [Node(name, self.history, self.coordinator) for name in self.names]
+        self.nodes = [
+            Node(name, self.history, self.coordinator, held=bool(number % 2))
+            for number, name in enumerate(self.names)
+        ]
         self.tasks: set[asyncio.Future[None]] = set()
         self.faults: dict[str, int] = {}
         self.faulty: list[str] = []  # what was logged as an error
@@ -273,12 +371,8 @@
             measure.cancel()
             words.cancel()
             for node in self.nodes:
-                if node.process is not None and node.process.process.poll() is None:
-                    node.bury()
-                for reading in node.readers:
-                    reading.cancel()
-                node.file.unlink(missing_ok=True)
-                node.file.parent.rmdir()
+                node.close()
+                self.faulty += node.faulty
         return self.history
 
     async def words(self) -> None:
@@ -390,9 +484,10 @@
             await asyncio.sleep(self.chance.uniform(0.1, 0.7))
             kind = self.chance.choice(FAULTS)
             idle = [node for node in self.nodes if not node.busy]
-            if kind in ("term", "kill", "stop", "hup"):
+            if kind in ("term", "kill", "stop", "hup", "upgrade"):
                 if len(idle) < 2 and kind != "hup":
                     continue
+                idle = [node for node in idle if node.held is not None or kind != "upgrade"]
                 if idle:
                     self.faults[kind] = self.faults.get(kind, 0) + 1
                     self.spawn(self.trouble(self.chance.choice(idle), kind))
@@ -403,11 +498,10 @@
     async def trouble(self, node: Node, kind: str) -> None:
         node.busy = True
         if kind == "stop":
-            self.history.add("stopped", node.name)
-            node.signal(signal.SIGSTOP)
-            await asyncio.sleep(self.chance.uniform(0.1, 0.6))
-            node.signal(signal.SIGCONT)
-            self.history.add("continued", node.name)
+            assert node.process is not None
+            await node.stand_still(node.process, self.chance)
+        elif kind == "upgrade":
+            await node.upgrade(self.chance)
         elif kind == "hup":
             node.feeds.reverse()
             document = json.loads(node.file.read_text())
--- a/tests/test_crossings_platform.py
+++ b/tests/test_crossings_platform.py
@@ -131,6 +131,19 @@
                      Seen(6.5, "caller_end", "p", "y", text="close")):  # fmt: skip
             self.assertEqual([broken.check for broken in found([*silent, none])], ["no_answer"])
 
+    def test_the_kill_of_one_process_of_an_upgrade_excuses_only_what_it_may_have_held(self) -> None:
+        silent = without(kept(), ("y", "final"), ("y", "up"), ("y", "bye_out"))
+        unreleased = without(kept(), ("x", "bye_in"))
+        kept_on = without(kept(), ("y", "down_in"))
+        for history, excused, blamed in (
+            (silent, (4.1, 5.5), (3.6, 6.2)),  # what came before it, and was due after it
+            (unreleased, (1.9, 3.2), (1.4, 2.5, 3.4)),  # what came to stand, or ended, as it was killed
+            (kept_on, (4.1, 5.2), (3.6, 4.6, 5.4)),
+        ):
+            for at, broken in [(at, False) for at in excused] + [(at, True) for at in blamed]:
+                found_there = found([*history, Seen(at, "half_killed", "p")])
+                self.assertEqual(bool(found_there), broken, (at, found_there))
+
     def test_the_rig_s_lateness_and_a_process_kept_from_running_extend_limits_and_no_more(self) -> None:
         late = moved(moved(kept(), "x", "final", 3.06), "x", "release_out", 3.07)
         for measured, checks in ((0.02, []), (0.005, ["late_answer"])):
