Tell the successor which calls are over: a release was passed on a second time

Test: test_a_release_that_is_told_again_on_the_successor_s_connection, seen failing without the mend.

--- a/mallowquay/assembly/platform.py
+++ b/mallowquay/assembly/platform.py
@@ -77,6 +77,7 @@
         if before is not None:
             try:
                 front.answered.add_all(before["answered"])
+                front.over.add_all(before.get("over", []))  # log servers tell these ends on new connections
                 if before["index"] >= index:
                     index, events = before["index"], [read_servers(before["servers"], unix)]
             except UNUSABLE as fault:  # another version may say other things
@@ -106,6 +107,7 @@
             "ids": calls.open_ids(),
             "standing": [front.handover.tell_standing(call) for call in calls.standing()],
             "answered": front.answered.ids(),
+            "over": front.over.ids(),
         }
         twin.serves, twin.stops, twin.alone = self._succeeded, self._go_on, self._alone
         twin.takes["ceded"], twin.takes["give"] = self._ceded, self._give
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -113,6 +113,23 @@
             caller.send("OPTIONS", "p")
             self.assertEqual(caller.read()[""], "SIP/2.0 200 OK")
 
+    def test_a_release_that_is_told_again_on_the_successor_s_connection(self) -> None:
+        """Term: a call is released once towards its caller; the two processes count as one."""
+        for call_id in ("00000000000000e1", "00000000000000e2"):
+            self.set_up(call_id)
+        self.log_servers[0].say("down", "00000000000000e1", cause=16)
+        self.assertEqual(self.caller.read()["call-id"], "00000000000000e1")
+        self.caller.send("BYE", "00000000000000e2")  # ended from the other side, and told there all the same
+        self.assertEqual(self.caller.read()[""], "SIP/2.0 200 OK")
+        self.upgrade()
+        self.program.terminate()
+        self.program.wait_for("successor_has_connections")
+        for call_id in ("00000000000000e1", "00000000000000e2"):
+            self.log_servers[0].say("down", call_id, cause=16)
+            self.assertEqual(self.log_servers[0].read(), {"t": "ack", "ref": call_id, "f": {}})
+        self.caller.send("OPTIONS", "p")
+        self.assertEqual(self.caller.read()["call-id"], "p")  # and nothing before
+
     def test_a_release_and_a_cancel_reach_the_process_that_holds_the_call(self) -> None:
         self.set_up("00000000000000b1")
         self.caller.invite("00000000000000b2", left=9000)
