Keep a release or answer that goes through a successor until it is carried out there

An answer that crossed the close of its connection there left a call standing that nobody knows of. Checked: the wire's own part (what it does not take any more) was kept already; releases that cross the gift of their call too. Change: releases go as such, with the connection's key, in place of bytes; the successor says 'heard' once it has carried one out, or once an answer has left whole; what is unheard as it goes is carried out here, or released at its log server. A successor of an older release does not say so and is treated as before. The table has a bound (4,096). Three tests read the packet by its new kind, one now checks id and key. Two new ones, both seen failing without the mend.

--- a/mallowquay/fronts/platform/connection.py
+++ b/mallowquay/fronts/platform/connection.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Protocol
 
 from tornado.iostream import IOStream
 
@@ -24,6 +24,19 @@
     parts: list[bytes]
 
 
+class Carrier(Protocol):
+    """Whoever writes on a connection that has been handed over."""
+
+    def write(self, parts: list[bytes]) -> bool:
+        """Pass a message on; False: it does not leave."""
+
+    def answer(self, call_id: str, parts: list[bytes]) -> bool:
+        """Pass on the answer by which a call stands; True if word comes once it has left whole."""
+
+    def release(self, release: Release) -> bool:
+        """Pass a release on, which is kept until it is known to be carried out; False: nobody is there."""
+
+
 class Connection:
     """One connection from callers."""
 
@@ -42,7 +55,7 @@
         self.leaving: set[str] = set()  # calls that stand by an answer that has not left whole
         self.key = 0  # of one that the process before has handed over
         self.elsewhere: set[str] = set()  # calls of the process before that are open on it
-        self.handed: Callable[[list[bytes]], bool] | None = None  # writes where it has been handed to
+        self.handed: Carrier | None = None  # where it has been handed to
 
     @property
     def open(self) -> bool:
@@ -76,23 +89,26 @@
 
     def write(self, parts: list[bytes]) -> bool:
         """Send a message; False if the connection is gone."""
-        return gathered_write(self.stream, parts) if self.handed is None else self.handed(parts)
+        return gathered_write(self.stream, parts) if self.handed is None else self.handed.write(parts)
 
     def write_answer(self, call_id: str, parts: list[bytes]) -> None:
         """Send the answer by which a call stands; before it has left whole the caller cannot know of it."""
-        if not self.write(parts):
-            if self.handed is None:
-                self.leaving.add(call_id)  # released as the connection's end is met
-        elif self.handed is None and self.stream.writing():
+        if self.handed is not None:
+            if self.handed.answer(call_id, parts):
+                self.leaving.add(call_id)  # until the successor has written it
+        elif not self.write(parts):
+            self.leaving.add(call_id)  # released as the connection's end is met
+        elif self.stream.writing():
             self.leaving.add(call_id)
             when_written(self.stream, lambda: self.leaving.discard(call_id))
 
     def write_release(self, release: Release) -> bool:
         """Send a release; it is owed until it has left whole. False where nobody would read it."""
-        gone = self.handed is None and unread(self.stream) is Unread.END
-        if gone or not self.write(release.parts):
+        if self.handed is not None:
+            return self.handed.release(release)
+        if unread(self.stream) is Unread.END or not self.write(release.parts):
             return False
-        if self.handed is None and self.stream.writing():
+        if self.stream.writing():
             self.releases[release.call_id] = release
             when_written(self.stream, lambda: self._left(release.call_id))
         return True
--- a/mallowquay/fronts/platform/handover.py
+++ b/mallowquay/fronts/platform/handover.py
@@ -6,6 +6,7 @@
 import base64
 import socket
 from collections.abc import Coroutine
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any, Protocol
 
@@ -13,13 +14,13 @@
 
 from ...settings import SOCKETS_KEPT
 from ...core.calls import Call, Calls, CallState
-from ...net.streams import WRITE_BUFFER_MOST
+from ...net.streams import WRITE_BUFFER_MOST, when_written
 from ...net.tasks import Tasks
 from ...operation.twin import Packet, Twin
 from ..recently_seen import RecentlySeen
 from ..sip.message import parse, q850_cause
 from ..statuses import NORMAL_CLEARING, release_ending
-from .connection import Connection
+from .connection import Connection, Release
 
 MICROSECOND = timedelta(microseconds=1)
 HAND_AGAIN = timedelta(milliseconds=20)
@@ -58,6 +59,34 @@
         """BYE for a call that is over."""
 
 
+@dataclass(frozen=True, slots=True)
+class Successor:
+    """The successor, as the carrier of one connection that it was handed."""
+
+    twin: Twin
+    key: int
+
+    def write(self, parts: list[bytes]) -> bool:
+        """Pass a message on; False: it does not leave."""
+        return self.twin.send("write", key=self.key, data=_text(parts))
+
+    def answer(self, call_id: str, parts: list[bytes]) -> bool:
+        """Pass on the answer by which a call stands; True if word comes once it has left whole."""
+        self.twin.send("write", key=self.key, data=_text(parts), id=call_id)
+        return self.twin.hears
+
+    def release(self, release: Release) -> bool:
+        """Pass a release on; what the other does not read is carried out here, once it is found gone."""
+        if not self.twin.alive:
+            return False
+        self.twin.send("release", id=release.call_id, uri=release.uri, cause=release.cause, key=self.key)
+        return True
+
+
+def _text(parts: list[bytes]) -> str:
+    return base64.b64encode(b"".join(parts)).decode()
+
+
 class Handover:
     """Hands the front's connections to the successor, and takes those of the process before."""
 
@@ -79,6 +108,7 @@
             bye=lambda told: front.caller_released(told["id"], told["cause"], passed_on=True),
             down=self._ended_here,
             release=self._released_there,
+            heard=lambda told: self._heard_there(told["id"]),
             given=self._adopt_call,
         )
 
@@ -127,10 +157,7 @@
         ):
             return  # the successor has gone, and has not got it: it stays here, with its calls
 
-        def write(parts: list[bytes]) -> bool:
-            return self.twin.send("write", key=key, data=base64.b64encode(b"".join(parts)).decode())
-
-        connection.handed = write
+        connection.handed = Successor(self.twin, key)
         self._handed[key] = connection
         del self._front.connections[connection]
         stream.close()  # the successor has it: nothing is shut down
@@ -142,6 +169,14 @@
             connection.handed = None
             connection.standing.clear()
             self._front.give_up(connection)
+            for call_id in connection.leaving:  # their callers have not heard that they stand
+                self._front.caller_released(call_id, NORMAL_CLEARING)
+
+    def _heard_there(self, call_id: str) -> None:
+        """The successor has carried a release out, or an answer has left whole there."""
+        self.twin.unheard.pop(call_id, None)
+        for connection in self._handed.values():
+            connection.leaving.discard(call_id)
 
     def give(self) -> None:
         """The successor is to be succeeded, too: it holds what stands here, so that this process can end."""
@@ -174,12 +209,17 @@
         connection = self._adopted.get(told["key"])
         data = base64.b64decode(told["data"])
         if connection is not None and connection.write([data]):
+            if "id" in told:
+                when_written(connection.stream, lambda: self._say_heard(told))
             return
         message, _ = parse(bytearray(data), 0, len(data))
         if message is not None and message.method == "BYE":  # it crossed the close: any connection will do
             cause = q850_cause(message.get("Reason"), NORMAL_CLEARING)
             self._front.send_release(message.get("Call-ID"), message.uri, cause)
 
+    def _say_heard(self, told: Packet) -> None:
+        self.twin.send("heard", id=told["id"])
+
     # --- either
 
     def _over_there(self, call_id: str) -> None:
@@ -194,11 +234,13 @@
             self._calls.ended(call.attempt, release_ending(told["cause"]))
 
     def _released_there(self, told: Packet) -> None:
-        """The other process has no connection left for a release; it may have given us its call just now."""
+        """A release that the other process cannot write; it may have given us its call just now."""
         if self._calls.get(told["id"]) is None:
-            self._front.send_release(told["id"], told["uri"], told["cause"])
+            first = self._adopted.get(told.get("key", 0))
+            self._front.send_release(told["id"], told["uri"], told["cause"], first)
         else:
             self._ended_here(told)
+        self._say_heard(told)
 
     def stands(self, call: Call) -> None:
         """A call has come to stand here."""
--- a/mallowquay/operation/twin.py
+++ b/mallowquay/operation/twin.py
@@ -36,6 +36,7 @@
 
 Packet = dict[str, Any]
 
+UNHEARD_MOST = 4096  # words of the ends of calls, until the other is known to have carried them out
 ENDS = frozenset({"bye", "cancel", "down"})  # words that end a call of the other process
 
 
@@ -195,6 +196,7 @@
         self.alone: Callable[[], None] = lambda: None  # and what it leaves has been settled
         self.succeeded = False  # the other one is younger, and serves
         self.closing = False  # this one ends: it is no one to meet
+        self.hears = False  # the other one is younger, and says what it has carried out
 
     @property
     def alive(self) -> bool:
@@ -212,12 +214,18 @@
             return False
         packet = {"t": kind, **values}
         if kind in ENDS and values["id"] in self.ids:
-            self.unheard[values["id"]] = packet
+            self._keep(packet)
         leaves = self._wire.send(packet, descriptor)
-        if kind == "release" and not leaves:
-            self.unheard[values["id"]] = packet
+        if kind == "release" and (self.hears or not leaves):
+            self._keep(packet)
         return leaves
 
+    def _keep(self, packet: Packet) -> None:
+        """Word of the end of a call, until the other is known to have carried it out."""
+        while len(self.unheard) >= UNHEARD_MOST:
+            del self.unheard[next(iter(self.unheard))]
+        self.unheard[packet["id"]] = packet
+
     async def meet(self, folder: str, name: str) -> None:
         """Find the process before and hear its state, or be the first."""
         path = os.path.join(folder, f"mallowquay-{name}")
@@ -277,7 +285,7 @@
     def serve(self) -> None:
         """This one serves: from now on the next process meets it, and not the one before."""
         self._listen()
-        self.send("serves")
+        self.send("serves", hears=True)
 
     def _listen_no_more(self) -> None:
         if self._listener is not None:
@@ -322,7 +330,7 @@
             self._heard.set()
         elif kind == "serves":
             log.info("successor_serves")
-            self.succeeded = True
+            self.succeeded, self.hears = True, packet.get("hears", False)
             self._listen_no_more()
             self.serves()
         elif kind == "stops":
@@ -357,7 +365,7 @@
         """It has ended or died: this one goes on alone."""
         log.info("twin_gone")
         self._wire = None
-        self.succeeded = False
+        self.succeeded = self.hears = False
         self._heard.set()
         self.ids.clear()
         self.gone()
--- a/tests/test_crossings_exit.py
+++ b/tests/test_crossings_exit.py
@@ -169,9 +169,11 @@
         self.program.terminate()
         self.program.wait_for("stopping")
         self.second.say("serves")
-        self.assertEqual(self.second.read("connection")["open"], [ONCE])
+        handed = self.second.read("connection")
+        self.assertEqual(handed["open"], [ONCE])
         self.log_servers[0].say("down", ONCE, cause=16)
-        self.second.read("write")  # the release goes through the successor
+        release = self.second.read("release")  # goes through the successor, on the connection of its set-up
+        self.assertEqual((release["id"], release["key"]), (ONCE, handed["key"]))
         self.assertEqual(self.program.process.wait(WAIT), 0)
 
     def test_a_successor_that_ends_is_handed_nothing(self) -> None:
--- a/tests/test_crossings_upgrade.py
+++ b/tests/test_crossings_upgrade.py
@@ -303,6 +303,46 @@
         self.assertEqual(self.second.read("release")["id"], ONCE)
         self.assertEqual(self.program.process.wait(WAIT), 0)
 
+    def handed_to_the_stand_in(self) -> int:
+        """The key of the caller's connection."""
+        self.second.say("serves", hears=True)
+        self.program.wait_for("successor_serves")
+        self.program.terminate()
+        key = self.second.read("connection")["key"]
+        self.program.wait_for("successor_has_connections")
+        return key
+
+    def test_a_release_that_the_successor_did_not_live_to_carry_out(self) -> None:
+        """Term: what has stood and is over is released towards its client, once."""
+        self.set_up(TWICE, dest=1)
+        self.set_up(THRICE, dest=1)  # keeps the process
+        self.handed_to_the_stand_in()
+        for call_id, server in ((ONCE, self.log_servers[0]), (TWICE, self.log_servers[1])):
+            server.say("down", call_id, cause=16)
+            self.assertEqual(self.second.read("release")["id"], call_id)
+        self.second.say("heard", id=TWICE)
+        self.second.sock.close()
+        self.program.wait_for("twin_gone")
+        other = Caller(self.port)
+        other.send("OPTIONS", "p")
+        self.assertEqual([other.read()["call-id"] for _ in range(2)], [ONCE, "p"])
+        self.assertTrue(other.silent())
+
+    def test_an_answer_that_the_successor_could_not_write(self) -> None:
+        """Term: nothing stands for a caller that has gone; what its caller knows of stands on."""
+        calls = ((UNANSWERED, self.log_servers[0]), (TWICE, self.log_servers[1]))
+        for number, (call_id, server) in enumerate(calls):
+            self.caller.invite(call_id, left=9000, dest=number)
+            server.read()
+        key = self.handed_to_the_stand_in()
+        for call_id, server in calls:
+            server.say("up", call_id, text="answer")
+            self.assertEqual(self.second.read("write")["id"], call_id)
+        self.second.say("heard", id=TWICE)
+        self.second.say("closed", key=key)  # it crossed the other answer
+        self.assertEqual(self.log_servers[0].read(), {"t": "down", "ref": UNANSWERED, "f": {}, "c": 16})
+        self.assertTrue(self.log_servers[1].silent())
+
     def test_a_successor_is_told_to_end_once_it_has_all(self) -> None:
         """Term: who comes is served: the older one stays for what stands, and takes callers in turn."""
         self.second.say("serves")
@@ -315,7 +355,7 @@
         for call_id in (ONCE, TWICE):
             self.log_servers[0].say("down", call_id, cause=16)
             self.assertEqual(self.log_servers[0].read()["t"], "ack")
-        self.second.read("write")  # one through the successor, which still carries its connection
+        self.assertEqual(self.second.read("release")["id"], ONCE)  # it still carries its connection
         self.assertEqual(self.caller.read()["call-id"], TWICE)
         self.assertEqual(self.program.process.wait(WAIT), 0)
 
@@ -353,8 +393,8 @@
         self.assertEqual(self.log_servers[0].read()["t"], "ack")
         with self.assertRaises(TimeoutError):
             self.wait(1.2)  # past the time in which it would end by itself
-        for _ in range(3):  # the answer, and two releases
-            self.second.read("write")
+        self.second.read("write")  # the answer
+        self.assertEqual([self.second.read("release")["id"] for _ in range(2)], [UNANSWERED, ONCE])
         self.assertEqual(self.program.process.wait(WAIT), 0)
 
     def wait(self, seconds: float) -> None:
