Pass the list between the two processes of an upgrade: told to one is told to both

Change: each tells the other the whole list when an event of its feed has been applied, the successor also when its file is ahead; it counts by the event's number. Starts keep their points (UnixTime), so nothing is taken as a new start. Tests: test_what_the_list_tells_one_of_the_two_is_known_to_both and test_a_list_that_only_the_successor_s_file_holds_is_known_to_both.

--- a/mallowquay/assembly/platform.py
+++ b/mallowquay/assembly/platform.py
@@ -90,6 +90,8 @@
             except UNUSABLE as fault:
                 log.error("memory_before_unusable", fault=f"{type(fault).__name__}: {fault}")
         self.coordinator = Coordinator(platform.coordinator, index, unix, told)
+        self.coordinator.followed = self._pass_list
+        self._unix = unix
         servers.spawn(self.coordinator.follow())
         host, port = platform.listen
         if platform.inherited is None:
@@ -101,8 +103,7 @@
         front.add_sockets(self.listeners)
         heart.operation.listening = True
         twin.tells = lambda: {
-            "index": self.coordinator.index,
-            "servers": tell_servers(servers.servers.values(), unix),
+            **self._tell_list(),
             "module": heart.decisions.memory(),
             "ids": calls.open_ids(),
             "standing": [front.handover.tell_standing(call) for call in calls.standing()],
@@ -111,10 +112,26 @@
         }
         twin.serves, twin.stops, twin.alone = self._succeeded, self._go_on, self._alone
         twin.takes["ceded"], twin.takes["give"] = self._ceded, self._give
+        twin.takes["list"] = self._learn_list
         twin.catch_up()
         twin.serve()
+        if before is not None and before["index"] < index:
+            self._pass_list()
         heart.addresses = {"name": platform.name, "at": f"{host}:{port}"}
 
+    def _tell_list(self) -> Packet:
+        """The list, for the other process of an upgrade."""
+        servers = tell_servers(self.servers.servers.values(), self._unix)
+        return {"index": self.coordinator.index, "servers": servers}
+
+    def _pass_list(self) -> None:
+        """What is told to one of the two counts as told to both: the other one's feed may be down."""
+        if self.twin.alive:
+            self.twin.send("list", **self._tell_list())
+
+    def _learn_list(self, told: Packet) -> None:
+        self.coordinator.learn(told["index"], read_servers(told["servers"], self._unix))
+
     def _share(self, servers: int) -> None:
         """Each log server on the list has its descriptor, whatever callers hold."""
         config = self._heart.config
--- a/mallowquay/membership/coordinator.py
+++ b/mallowquay/membership/coordinator.py
@@ -148,6 +148,7 @@
         self.index = index
         self._pause = RETRY_LEAST  # before the next connection, at most
         self._session: asyncio.Future[None] | None = None
+        self.followed: Callable[[], None] = lambda: None  # told once an event of the feed has been applied
 
     async def follow(self) -> None:
         """Connect, apply events in order, and connect again from the last one when the feed breaks."""
@@ -208,3 +209,11 @@
         servers = read_records(payload, self._unix)
         self._tell(ListTold(servers, kind == WHOLE))
         self.index = number  # only now: an event that was not taken whole is asked for again
+        self.followed()
+
+    def learn(self, number: int, told: ListTold) -> None:
+        """The whole list as another process has it, which counts here unless the feed has gone further."""
+        if number > self.index:
+            log.info("list_learned", index=number, before=self.index)
+            self._tell(told)
+            self.index = number
--- a/rigs/platform/checker.py
+++ b/rigs/platform/checker.py
@@ -129,10 +129,12 @@
 
     def words_after(self, one: Offered) -> Iterator[Violation]:
         """Nothing after the final answer but one release, and that only of a call that stood."""
-        byes, finals, end = one.of("bye_in"), one.of("final"), one.caller_end
+        byes, finals = one.of("bye_in"), one.of("final")
         stood = any(final.text == "200" for final in finals)
         ups = [up.at for up in one.of("up")]
-        unread = end is not None and end.text in CLOSES  # the answer may have crossed the close
+        # The answer may have crossed the close, of its own set-up or of one before under the same id.
+        closes = [seen for seen in self.by_call[one.first.call] if seen.what == "caller_end"]
+        unread = any(end.text in CLOSES and end.at < one.until for end in closes)
         for bye in byes if not stood and not unread else ():
             if not self.broke(one, bye.at) and not self.between(one.first.process, *ups):
                 yield Violation("release_of_nothing", bye.at, one.first.call, "no answer stood")
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import os
 import select
 import socket
 import tempfile
+import time
+from pathlib import Path
 
 from support import WAIT, Caller, Process, SpeakingLogServer, free_port
 from test_operation import ControlCase, control_call
@@ -194,6 +197,36 @@
         self.program.terminate()
         self.assertEqual(self.program.process.wait(WAIT), 0)
 
+    def wait_for_unavailable(self, control: int) -> None:
+        """Until the process with this second address counts a log server as none to send to."""
+        end = time.monotonic() + WAIT
+        while control_call(control, "GET", "/stats")[1]["members_unavailable"] != 1:
+            self.assertLess(time.monotonic(), end, "it does not know the list")
+            time.sleep(0.01)
+
+    def test_what_the_list_tells_one_of_the_two_is_known_to_both(self) -> None:
+        """Term: nothing new to a server 500 ms after its drain was told; the two processes count as one."""
+        self.succeed()
+        self.program.wait_for("successor_serves")
+        first, self.feed = self.feed, self.feed_that_lives()
+        self.tell(self.log_servers[0], 1)  # the first one's feed says nothing of it
+        self.wait_for_unavailable(self.control)
+        self.assertFalse(select.select([first], [], [], 0)[0])  # nor has it asked anew
+        self.caller.invite("00000000000000f2", dest=0)
+        self.assertEqual(self.log_servers[1].read()["ref"], "00000000000000f2")
+
+    def test_a_list_that_only_the_successor_s_file_holds_is_known_to_both(self) -> None:
+        """Term: nothing new to a server 500 ms after its drain was told; the two processes count as one."""
+        known = self.document["known"]
+        known["index"] += 1
+        known["updates"][0]["endpoints"]["servers"][0] = self.log_servers[0].entry("terminating")
+        Path(self.file).write_text(json.dumps(self.document))
+        self.succeed()
+        self.wait_for_unavailable(self.control)
+        self.tell(self.log_servers[1], 0)  # an event with the number that the file has: passed over
+        self.caller.invite("00000000000000f3", dest=0)
+        self.assertEqual(self.log_servers[1].read()["ref"], "00000000000000f3")
+
     def test_the_successor_knows_the_list_that_was_told_last(self) -> None:
         self.tell(self.log_servers[0], 2)
         self.caller.invite("00000000000000f1", dest=0)  # told by now: it goes elsewhere
