Let a process that ends be met, and take what log servers tell it last to its successor

Change: nothing closes the door before the process has ended (the flag 'closing' and a second flag are gone); as a process ends that has a successor it ends its side of each connection to a log server, and passes on what comes until that one closes (0.5 s at most). Checked: words for calls that the ending process holds, and its own releases, leave before, as ever. Tests: LateTest (two, failing before), test_a_log_server_tells_the_one_that_ends_of_a_call_of_the_other (failing before). Measured: 57 tests of upgrades and exits passed.

--- a/mallowquay/assembly/platform.py
+++ b/mallowquay/assembly/platform.py
@@ -38,7 +38,7 @@
         self._heart, self._platform, self._serve_again = heart, platform, serve_again
         self._handing: asyncio.Future[None] | None = None
         self._kept: list[socket.socket] = []  # the listeners of a process that gives way, for the worst
-        self._stopping = self._again = False  # told to end; serves again, since its successor is gone
+        self._stopping = False  # told to end
         self.twin = Twin(heart.loop)
         self.listeners: list[socket.socket] = []
 
@@ -110,7 +110,7 @@
             "answered": front.answered.ids(),
             "over": front.over.ids(),
         }
-        twin.serves, twin.stops, twin.alone = self._succeeded, self._go_on, self._alone
+        twin.serves, twin.stops, twin.alone = self._succeeded, self._go_on, self._go_on
         twin.takes["ceded"], twin.takes["give"] = self._ceded, self._give
         twin.takes["list"] = self._learn_list
         twin.catch_up()
@@ -147,7 +147,7 @@
 
     def stop(self) -> None:
         """A successor takes the connections; one that ends is handed none."""
-        self._stopping = self.twin.closing = True
+        self._stopping = True
         if self.twin.succeeded:
             self._give_way()
         elif self.twin.alive:
@@ -187,18 +187,14 @@
     def _go_on(self) -> None:
         """The successor ends and has ceded its turns, or is gone: nobody else takes the callers that come."""
         self._heart.decisions.cede_cold(False)
+        self.servers.come_back()
         if self._handing is not None:
             self._handing.cancel()
-            self._handing, self._again = None, True
+            self._handing = None
             self.listeners, self._kept = self._kept, []
             self.front.add_sockets(self.listeners)
             self._serve_again()
 
-    def _alone(self) -> None:
-        """The other process is gone, and what it left is settled."""
-        self._go_on()
-        self.twin.closing = self._stopping and not self._again  # a further process may succeed this one
-
     # --- the process that succeeds
 
     def _ceded(self, told: Packet) -> None:
@@ -219,7 +215,10 @@
             quiet = self._handing.done()
         else:
             quiet = now >= quiet_since
-        return quiet and self.twin.settled and self.front.settled() and self.servers.settled()
+        done = quiet and self.twin.settled and self.front.settled() and self.servers.settled()
+        if done and self.twin.succeeded:  # what comes on the way goes to the successor, and has to leave
+            return self.servers.leave() and self.twin.settled
+        return done
 
     def end(self) -> None:
         """Nothing more is read from callers."""
--- a/mallowquay/fronts/platform/servers.py
+++ b/mallowquay/fronts/platform/servers.py
@@ -153,7 +153,7 @@
 
     def connect(self) -> None:
         """Open the connection unless it is open or coming."""
-        if self.stream is None and not self.connecting and not self.closed:
+        if self.stream is None and not self.connecting and not self.closed and not self.side.leaving:
             self.connecting = True
             self.side.spawn(self._run())
 
@@ -300,7 +300,7 @@
             self._failed(failed.ending, address)
             return
         self.connecting = False
-        if self.closed or address != self.server.address:  # it went from the list meanwhile, or moved
+        if self.closed or self.side.leaving or address != self.server.address:  # it is gone, or moved
             stream.close()
             self.connect()
             return
@@ -371,6 +371,8 @@
             self.release(attempt.request.id, NORMAL_CLEARING)
         for attempt in broken:
             self.side.calls.ended(attempt, ending)
+        if self.side.leaving:
+            return
         if self.side.clock() - self.opened_at >= RESTED:
             self._pause = RESTED
             if self._redial is None:
@@ -422,6 +424,11 @@
             started = server.started
             self.owed = {call: owed for call, owed in self.owed.items() if owed.kept_at >= started}
 
+    def leave(self) -> None:
+        """Write nothing more, and read what the log server has written until it closes, or for a moment."""
+        if self.stream is not None and not self.stream.closed():
+            finish_writing(self.stream)
+
     def close(self) -> None:
         """Leave a server that is gone; should it live on, what was written to it still arrives."""
         self.closed = True
@@ -441,6 +448,7 @@
         self.connect_timeout = connect_timeout
         self.links: dict[str, Link] = {}
         self.unreadable = 0
+        self.leaving = False  # no connection is opened any more
         # A call that this process never took is over.
         self.stray_ended: Callable[[str, int], None] = lambda call_id, cause: None
         self.spawn = Tasks().spawn
@@ -520,9 +528,28 @@
         for link in self.links.values():
             link.release(call_id, cause)
 
+    def leave(self) -> bool:
+        """Leave all connections; True once nothing more can come on them.
+
+        A log server may tell on one the end of a call that is the successor's: it tells that once.
+        """
+        if not self.leaving:
+            self.leaving = True
+            for link in self.links.values():
+                link.leave()
+        return all(link.stream is None and not link.connecting for link in self.links.values())
+
+    def come_back(self) -> None:
+        """Connect again: the successor is gone."""
+        if self.leaving:
+            self.leaving = False
+            for link in self.links.values():
+                if link.server.status is ServerStatus.READY:
+                    link.connect()
+
     def settled(self) -> bool:
         """Whether nothing that is owed to a log server on the list is yet to be written."""
-        return all(link.settled for link in self.links.values())
+        return self.leaving or all(link.settled for link in self.links.values())
 
     # --- what servers say
 
--- a/mallowquay/operation/twin.py
+++ b/mallowquay/operation/twin.py
@@ -195,7 +195,6 @@
         self.gone: Callable[[], None] = lambda: None
         self.alone: Callable[[], None] = lambda: None  # and what it leaves has been settled
         self.succeeded = False  # the other one is younger, and serves
-        self.closing = False  # this one ends: it is no one to meet
         self.hears = False  # the other one is younger, and says what it has carried out
 
     @property
@@ -303,9 +302,6 @@
             sock, _ = self._listener.accept()
         except OSError:
             return
-        if self.closing:
-            sock.close()
-            return
         self._wire = Wire(self._loop, sock, self._take, self._lost)
 
     def _take(self, packet: Packet, descriptors: list[int]) -> None:
@@ -375,7 +371,7 @@
         if self._listener is not None:  # whoever waits there is heard now
             self._loop.remove_handler(self._listener)
             self._loop.add_handler(self._listener, self._accept, IOLoop.READ)
-        elif not self.closing:
+        else:
             self._listen()
 
     def taken(self, call_id: str) -> None:
