Let a third process of an upgrade wait for the first one's unanswered calls

Change: the second takes the meeting at once, asks the first for its calls as before, and says 'wait'; the third then waits up to 7.5 s, within the 10 s in which a process is to be ready. Its place is closed where the second is itself succeeded. Tests: TurnTest; two of the three seen failing before, the third holds what was there.

--- a/mallowquay/operation/twin.py
+++ b/mallowquay/operation/twin.py
@@ -9,6 +9,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import timedelta
 from typing import Any
 
@@ -26,6 +27,9 @@
 DESCRIPTORS_MOST = 4
 EARLY_MOST = 1024  # packets between the other's state and the own front: a few turns of the loop
 MEET_WITHIN = timedelta(seconds=2)
+# One that is met while it has another beside it says so: that one's calls are answered first. A process
+# is to be ready within 10 s of its start; after this wait it goes on alone.
+TURN_WITHIN = timedelta(seconds=7.5)
 MEETINGS_MOST = 2  # the process that was met may have closed its door for one that succeeds it just then
 PATH_MOST = 100  # a Unix socket's name has room for 108 bytes
 LAST, MORE = b".", b"+"  # the first byte of a piece
@@ -179,7 +183,9 @@
         self._loop, self._path = loop, ""
         self._listener: socket.socket | None = None
         self._wire: Wire | None = None
+        self._next: socket.socket | None = None  # who met this one while there was another
         self._heard = asyncio.Event()
+        self._patience: asyncio.Timeout | None = None  # for the state of the process before
         self.ids: set[str] = set()  # requests that are open there
         self.standing: dict[str, Packet] = {}  # of these, what is known of calls that stand
         # By call, words that the other may not have carried out: should it go now, they are ours.
@@ -252,12 +258,15 @@
         self._wire = Wire(self._loop, sock, self._take, self._lost)
         self.send("hello")
         try:
-            async with asyncio.timeout(MEET_WITHIN.total_seconds()):
+            async with asyncio.timeout(MEET_WITHIN.total_seconds()) as self._patience:
                 await self._heard.wait()
         except TimeoutError:
             log.error("twin_says_nothing")
-            self._wire.close()
+            if self._wire is not None:
+                self._wire.close()
             return False
+        finally:
+            self._patience = None
         return True
 
     def _listen(self) -> None:
@@ -291,18 +300,24 @@
             self._loop.remove_handler(self._listener)
             self._listener.close()
             self._listener = None
+        if self._next is not None:  # it meets the one that serves
+            self._next.close()
+            self._next = None
 
     def _accept(self, listener: object, events: int) -> None:
         assert self._listener is not None
-        if self.alive:  # one at a time: the next one waits until the other process has ended
-            self._loop.remove_handler(self._listener)
-            self.send("give")
-            return
         try:
             sock, _ = self._listener.accept()
         except OSError:
             return
-        self._wire = Wire(self._loop, sock, self._take, self._lost)
+        if not self.alive:
+            self._wire = Wire(self._loop, sock, self._take, self._lost)
+            return
+        self._loop.remove_handler(self._listener)  # one at a time: it waits until the other process has ended
+        self._next = sock
+        self.send("give")
+        with suppress(OSError):
+            sock.send(LAST + b'{"t":"wait"}')
 
     def _take(self, packet: Packet, descriptors: list[int]) -> None:
         kind = packet["t"]
@@ -329,6 +344,10 @@
             self.succeeded, self.hears = True, packet.get("hears", False)
             self._listen_no_more()
             self.serves()
+        elif kind == "wait":
+            log.info("turn_awaited")
+            if self._patience is not None:
+                self._patience.reschedule(asyncio.get_running_loop().time() + TURN_WITHIN.total_seconds())
         elif kind == "stops":
             if self.succeeded:
                 self.succeeded = False  # whoever ends itself is handed nothing
@@ -368,11 +387,12 @@
         self.standing.clear()
         self.unheard.clear()
         self.alone()
-        if self._listener is not None:  # whoever waits there is heard now
-            self._loop.remove_handler(self._listener)
-            self._loop.add_handler(self._listener, self._accept, IOLoop.READ)
-        else:
+        if self._listener is None:
             self._listen()
+        elif self._next is not None:  # whoever waits is heard now
+            self._loop.add_handler(self._listener, self._accept, IOLoop.READ)
+            sock, self._next = self._next, None
+            self._wire = Wire(self._loop, sock, self._take, self._lost)
 
     def taken(self, call_id: str) -> None:
         """A request was taken here."""
--- a/tests/test_crossings_upgrade.py
+++ b/tests/test_crossings_upgrade.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import socket
+import tempfile
 import time
 import unittest
 from datetime import timedelta
@@ -30,6 +31,7 @@
 from mallowquay.net import accepting
 from mallowquay.net.accepting import AcceptingServer
 from mallowquay.net.clock import monotonic
+from mallowquay.operation import twin as twin_module
 from mallowquay.operation.twin import Twin, Wire
 
 ONCE, TWICE, THRICE = "00000000000000a1", "00000000000000a2", "00000000000000a3"
@@ -322,6 +324,55 @@
         self.assertEqual(second.process.wait(WAIT), 0)  # both were its own, and are over
 
 
+class TurnTest(unittest.IsolatedAsyncioTestCase):
+    """A third process at the door of the second, whose own time to be heard is short here."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        loop = IOLoop.current()
+        self.first, self.second, self.third = Twin(loop), Twin(loop), Twin(loop)
+        self.first.tells = lambda: {"ids": [], "standing": []}
+        self.second.tells = lambda: {"ids": [ONCE], "standing": []}
+        self.asked, self.answered = asyncio.Event(), asyncio.Event()
+        self.first.takes["give"] = lambda told: self.asked.set()
+        for twin in (self.first, self.second):
+            await twin.meet(folder.name, "x")
+            twin.catch_up()
+            twin.serve()
+        self.folder = folder.name
+
+    async def test_it_waits_for_the_calls_of_the_first_to_be_answered(self) -> None:
+        """Term: the processes of an upgrade count as one, whenever the third one comes."""
+        with patch.object(twin_module, "MEET_WITHIN", timedelta(milliseconds=100)):
+            meeting = asyncio.ensure_future(self.third.meet(self.folder, "x"))
+            await asyncio.wait_for(self.asked.wait(), WAIT)
+            done, _ = await asyncio.wait([meeting], timeout=0.5)
+            self.assertFalse(done, "it went on alone")
+            self.first._wire.close()  # type: ignore[union-attr]
+            await asyncio.wait_for(meeting, WAIT)
+        self.assertEqual(self.third.ids, {ONCE})
+        self.assertTrue(self.third.alive and self.second.alive)
+
+    async def test_it_goes_on_alone_in_time_to_be_ready(self) -> None:
+        """Term: nine in ten restarted processes are ready within 10 s, whatever they wait for."""
+        with patch.object(twin_module, "TURN_WITHIN", timedelta(milliseconds=200)):
+            began = time.monotonic()
+            await asyncio.wait_for(self.third.meet(self.folder, "x"), WAIT)
+        self.assertLess(time.monotonic() - began, twin_module.MEET_WITHIN.total_seconds())
+        self.assertFalse(self.third.alive)
+        self.assertLess(twin_module.TURN_WITHIN + twin_module.MEET_WITHIN, timedelta(seconds=10))
+
+    async def test_a_fault_of_the_one_that_is_met_ends_the_wait(self) -> None:
+        """Term: as before: it goes on, and is met by the next."""
+        meeting = asyncio.ensure_future(self.third.meet(self.folder, "x"))
+        await asyncio.wait_for(self.asked.wait(), WAIT)
+        self.second._listen_no_more()
+        await asyncio.wait_for(meeting, WAIT)
+        self.assertFalse(self.third.alive)
+        self.assertIsNotNone(self.third._listener)
+
+
 class StandInCase(SuccessionCase):
     """A program, and a stand-in for its successor."""
 
