Tell the other process of an upgrade which ids were given up, and until when they wait

Both read the same monotonic clock. Tests: ..._given_up_in_one_comes_again_in_the_other and ..._given_up_before_the_successor_came, both seen failing before.

--- a/mallowquay/assembly/platform.py
+++ b/mallowquay/assembly/platform.py
@@ -66,7 +66,7 @@
         servers.stray_ended = front.stray_ended
         unix = UnixTime()
         calls.opened, calls.closed = twin.taken, twin.over
-        calls.came_to_stand = front.handover.stands
+        calls.came_to_stand, calls.gave_up = front.handover.stands, front.handover.gave_up
         front.listed = lambda server: server in servers.servers
         told = partial(heart.told, side=servers.list_told)
         try:
@@ -78,6 +78,7 @@
             try:
                 front.answered.add_all(before["answered"])
                 front.over.add_all(before.get("over", []))  # log servers tell these ends on new connections
+                front.handover.hold_back(before.get("held_back", {}))
                 if before["index"] >= index:
                     index, events = before["index"], [read_servers(before["servers"], unix)]
             except UNUSABLE as fault:  # another version may say other things
@@ -109,6 +110,7 @@
             "standing": [front.handover.tell_standing(call) for call in calls.standing()],
             "answered": front.answered.ids(),
             "over": front.over.ids(),
+            "held_back": front.handover.tell_held_back(),
         }
         twin.serves, twin.stops, twin.alone = self._succeeded, self._go_on, self._go_on
         twin.takes["ceded"], twin.takes["give"] = self._ceded, self._give
--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -163,6 +163,8 @@
         self._running = False
         self.opened: Callable[[str], None] = lambda request_id: None  # told of each call taken
         self.closed: Callable[[str], None] = lambda request_id: None  # and of each that is over
+        # And of each given up with an attempt out: until when its id has no other, should it come again.
+        self.gave_up: Callable[[str, timedelta], None] = lambda request_id, until: None
         self.promises: Promises | None = None
         self.gate: Gate | None = None
         self.watches: list[CallWatch] = []
@@ -310,9 +312,8 @@
         now = self._clock()
         not_before = call.not_before if attempt is None else now + call.release_wait
         if not_before > now:  # also of one that no attempt is out for: it may still await a release
-            self._given_up[request_id] = not_before
-            if len(self._given_up) > GIVEN_UP_MOST:
-                del self._given_up[next(iter(self._given_up))]
+            self.hold_back(request_id, not_before)
+            self.gave_up(request_id, not_before)
         if attempt is not None:
             self._side.withdraw(attempt)
             self._do(lambda: self._decisions.report(Ended(attempt, Ending.CALLER_LEFT, closed=True)))
@@ -320,6 +321,17 @@
             self._do(lambda: self._dropped(request_id))
         return True
 
+    def hold_back(self, request_id: str, until: timedelta) -> None:
+        """An id was given up with an attempt out, here or in another process: it has no other before then."""
+        self._given_up[request_id] = until
+        if len(self._given_up) > GIVEN_UP_MOST:
+            del self._given_up[next(iter(self._given_up))]
+
+    def held_back(self) -> dict[str, timedelta]:
+        """The ids that have no attempt yet, should they come again, and until when."""
+        now = self._clock()
+        return {request_id: until for request_id, until in self._given_up.items() if until > now}
+
     def caller_released(self, request_id: str, cause: int) -> bool:
         """The caller ends a standing call; False if none stands."""
         call = self._calls.get(request_id)
--- a/mallowquay/fronts/platform/handover.py
+++ b/mallowquay/fronts/platform/handover.py
@@ -109,6 +109,7 @@
             down=self._ended_here,
             release=self._released_there,
             heard=lambda told: self._heard_there(told["id"]),
+            gave_up=lambda told: calls.hold_back(told["id"], told["until"] * MICROSECOND),
             given=self._adopt_call,
         )
 
@@ -242,6 +243,19 @@
             self._ended_here(told)
         self._say_heard(told)
 
+    def gave_up(self, call_id: str, until: timedelta) -> None:
+        """A call was given up here with an attempt out: its id may come again in the other process."""
+        self.twin.send("gave_up", id=call_id, until=until // MICROSECOND)
+
+    def tell_held_back(self) -> dict[str, int]:
+        """The ids that have no attempt yet, and until when: microseconds of the clock that both have."""
+        return {call_id: until // MICROSECOND for call_id, until in self._calls.held_back().items()}
+
+    def hold_back(self, told: dict[str, int]) -> None:
+        """What `tell_held_back` of the process before told."""
+        for call_id, until in told.items():
+            self._calls.hold_back(call_id, until * MICROSECOND)
+
     def stands(self, call: Call) -> None:
         """A call has come to stand here."""
         told = self.tell_standing(call)
--- a/tests/test_crossings_upgrade.py
+++ b/tests/test_crossings_upgrade.py
@@ -453,6 +453,27 @@
         self.assertEqual(self.second.read("down")["id"], TWICE)
         self.assertEqual(self.program.process.wait(WAIT), 0)
 
+    def test_an_id_that_was_given_up_in_one_comes_again_in_the_other(self) -> None:
+        """Term: 300 ms after a cancel before a resend; the two processes count as one."""
+        self.second.say("serves")
+        self.program.wait_for("successor_serves")
+        gone = Caller(self.port)
+        gone.invite(TWICE)
+        self.log_servers[0].read()
+        gone.sock.close()
+        self.assertEqual(self.log_servers[0].read()["t"], "down")
+        given_up = time.monotonic()
+        told = self.second.read("gave_up")
+        self.assertEqual(told["id"], TWICE)
+        until = told["until"] / 1e6
+        self.assertTrue(given_up + 0.2 < until <= given_up + 0.3, until - given_up)
+        self.second.say("gave_up", id=THRICE, until=round((until + 0.3) * 1e6))  # and the other way round
+        self.second.say("hello")
+        self.assertEqual(self.second.read("state")["held_back"][THRICE], round((until + 0.3) * 1e6))
+        self.caller.invite(THRICE)
+        self.log_servers[0].read()
+        self.assertGreaterEqual(time.monotonic(), until + 0.3)
+
     def test_a_successor_is_told_to_end_once_it_has_all(self) -> None:
         """Term: who comes is served: the older one stays for what stands, and takes callers in turn."""
         self.second.say("serves")
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -197,6 +197,28 @@
         self.program.terminate()
         self.assertEqual(self.program.process.wait(WAIT), 0)
 
+    def test_an_id_that_was_given_up_before_the_successor_came(self) -> None:
+        """Term: 300 ms after a cancel before a resend; the two processes count as one."""
+        document = json.loads(Path(self.file).read_text())
+        document["settings"]["extra"]["release"] = 5_000_000  # longer than the successor's start
+        Path(self.file).write_text(json.dumps(document))
+        self.program.hang_up()
+        self.program.wait_for("configuration_taken")
+        gone = Caller(self.port)
+        gone.invite("00000000000000f4", left=9000)
+        self.log_servers[0].read()
+        gone.sock.close()
+        self.assertEqual(self.log_servers[0].read()["t"], "down")
+        given_up = time.monotonic()
+        self.upgrade()
+        self.program.terminate()
+        self.program.wait_for("successor_has_connections")
+        other = Caller(self.port)
+        other.invite("00000000000000f4", left=9000)
+        self.log_servers[0].sock.settimeout(2 * WAIT)
+        self.assertEqual(self.log_servers[0].read()["ref"], "00000000000000f4")
+        self.assertGreater(time.monotonic(), given_up + 4.9)
+
     def wait_for_unavailable(self, control: int) -> None:
         """Until the process with this second address counts a log server as none to send to."""
         end = time.monotonic() + WAIT
