Rig: settings of other deployments, drawn by seed, and a checker that goes by them

The checker takes its limits from them, and has three checks more: a set-up that may not run twice is neither sent nor refused after it may have run (WIRE, rule 2); no gap beyond the settings; no tests unless they allow them. Each is seen failing on a spoilt history. One short drawn run is in the suite.

--- a/benchmarks/platform_endurance.py
+++ b/benchmarks/platform_endurance.py
@@ -12,18 +12,20 @@
 import os
 import sys
 from collections import Counter
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
 import click
 
 from rigs.platform.checker import Checker
+from rigs.platform.history import Rules
 from rigs.platform.rig import run
 
 
-def judged(seed: int, processes: int, seconds: float) -> dict[str, Any]:
+def judged(seed: int, processes: int, seconds: float, drawn: bool = False) -> dict[str, Any]:
     """One seed's counts and violations."""
-    rig, history = run(seed, processes, seconds)
+    rig, history = run(seed, processes, seconds, drawn)
     checker = Checker(history)
     violations = checker.violations()
     seen = Counter(one.what for one in history.seen)
@@ -32,7 +34,8 @@
     if path := os.environ.get("HISTORY"):
         Path(path).write_text("".join(f"{one}\n" for one in history.seen))
     return {
-        "seed": seed, "processes": processes, "seconds": seconds, "set_ups": seen["invite"],
+        "seed": seed, "processes": processes, "seconds": seconds, "rules": rules_told(history.rules),
+        "set_ups": seen["invite"],
         "finals": dict(sorted(finals.items())), "attempts": seen["new"], "answers": seen["up"],
         "releases": seen["bye_in"] + seen["bye_out"], "excused": checker.excused, "resent": seen["resent"],
         "faults": dict(sorted(rig.faults.items())),
@@ -44,13 +47,19 @@
     }  # fmt: skip
 
 
+def rules_told(rules: Rules) -> dict[str, Any]:
+    """In JSON's terms."""
+    return {**asdict(rules), "once": sorted(rules.once)}
+
+
 @click.command()
 @click.option("--seed", default=1, show_default=True, help="Of faults, callers and log servers.")
 @click.option("--processes", default=4, show_default=True, type=click.IntRange(2, 8))
 @click.option("--seconds", default=20.0, show_default=True, type=click.FloatRange(2, 120), help="Of traffic.")
-def main(seed: int, processes: int, seconds: float) -> None:
+@click.option("--drawn", is_flag=True, help="Settings of some other deployment, drawn from the seed.")
+def main(seed: int, processes: int, seconds: float, drawn: bool) -> None:
     """Several real processes under faults."""
-    told = judged(seed, processes, seconds)
+    told = judged(seed, processes, seconds, drawn)
     print(json.dumps(told))
     sys.exit(1 if told["violations"] or told["exits"] else 0)
 
--- a/rigs/platform/checker.py
+++ b/rigs/platform/checker.py
@@ -9,15 +9,14 @@
 
 from .history import History, Seen
 
-ATTEMPTS_MOST = 4
-RELEASE_WAIT = 0.3  # seconds after a timeout, reset or cancel before the next attempt
 GONE_MOST = 0.1  # after its caller's end an attempt may begin for so long
-GRACE = 0.5  # after the list has told a server draining or gone
 TOLD_AT_LAST = 7.0  # what the coordinator has to tell counts as told by then
 RELEASED, RELEASED_AT_LAST = 1.0, 8.0
 READY = 10.0
 ACCEPTS, AFTER_TERM = 0.4, 0.6  # so long after SIGTERM connections, and requests, come at the latest
 NOT_RUN = ("17", "47", "34", "102")  # causes after which a call may go on at once
+NEVER_RAN = ("34", "102")  # and that prove that nothing ran
+REFUSED = ("503", "480")  # trying again is harmless
 CLOSES = ("close", "half-close", "reset")
 # Around the kill of one process of an upgrade nobody can tell which of the two had read a word, or had told
 # the other of it: no more is excused than what came so shortly before or after.
@@ -72,11 +71,11 @@
     def violations(self) -> list[Violation]:
         """What was not kept, in the order of time."""
         checks: list[Callable[[Offered], Iterator[Violation]]] = [
-            self.answers, self.words_after, self.made, self.attempts, self.nobody, self.caller_released,
-            self.server_released,
+            self.answers, self.words_after, self.made, self.attempts, self.once, self.gaps, self.nobody,
+            self.caller_released, self.server_released,
         ]  # fmt: skip
         found = [broken for one in self.offered for check in checks for broken in check(one)]
-        found += [*self.drained(), *self.ready(), *self.accepts()]
+        found += [*self.drained(), *self.ready(), *self.accepts(), *self.probed()]
         return sorted(found, key=lambda broken: broken.at)
 
     # --- helpers
@@ -186,7 +185,7 @@
     def attempts(self, one: Offered) -> Iterator[Violation]:
         """One attempt out at a time, a wait after a timeout, reset or cancel, no more than allowed."""
         call, process, news = one.first.call, one.first.process, one.of("new")
-        if len(news) > ATTEMPTS_MOST:
+        if len(news) > self.history.rules.attempts_most:
             yield Violation("too_many", news[-1].at, call, f"{len(news)} attempts")
         whole = self.by_call[call]  # an id that comes again waits for its attempt before
         for new in news:
@@ -196,7 +195,8 @@
             last = before[-1]
             ended = next((seen for seen in whole[whole.index(last) + 1 :]
                           if seen.server == last.server and seen.what in ENDS), None)  # fmt: skip
-            blur = 0.05 + self.history.lateness(last.at, new.at + RELEASE_WAIT)
+            wait = self.history.rules.release_wait
+            blur = 0.05 + self.history.lateness(last.at, new.at + wait)
             if ended is None or new.at + blur < ended.at or (
                 ended.what in ("up", "down_out") and new.at < ended.at
             ):  # fmt: skip
@@ -204,10 +204,39 @@
             elif ended.what in ("down_in", "link_end") or (
                 ended.what == "down_out" and ended.text not in NOT_RUN
             ):
-                if new.at - ended.at < RELEASE_WAIT - blur:
+                if new.at - ended.at < wait - blur:
                     gap = f"{new.at - ended.at:.3f} s after {ended.what} {ended.text}, blur {blur:.3f}"
                     yield Violation("too_soon", new.at, call, gap)
 
+    def once(self, one: Offered) -> Iterator[Violation]:
+        """A set-up that may not run twice: no attempt, and no refusal, after one that may have run."""
+        if one.first.text not in self.history.rules.once:
+            return
+        ran: Seen | None = None
+        for seen in one.of("new", "final"):
+            again = seen.what == "new" or seen.text in REFUSED
+            if ran is not None and again and not self.went(
+                one.first.process, ran.at, seen.at, "killed", "half_killed", "exit"
+            ):  # fmt: skip
+                then = f"{ran.server}, then {seen.what} {seen.text}"
+                yield Violation("ran_twice", seen.at, one.first.call, then)
+            if seen.what == "new":
+                ends = [end for end in one.of(*ENDS) if end.at >= seen.at and end.server == seen.server]
+                if not ends or ends[0].what != "down_out" or ends[0].text not in NEVER_RAN:
+                    ran = ran or seen
+
+    def gaps(self, one: Offered) -> Iterator[Violation]:
+        """No caller is told to stay away for longer than the settings allow."""
+        for final in one.of("final"):
+            if final.number > self.history.rules.gap_most:
+                yield Violation("gap", final.at, one.first.call, f"{final.number} s")
+
+    def probed(self) -> Iterator[Violation]:
+        """No log server is tested unless the settings allow it."""
+        for seen in self.history.seen if not self.history.rules.probes else ():
+            if seen.what == "probe":
+                yield Violation("probed", seen.at, "", seen.server)
+
     def nobody(self, one: Offered) -> Iterator[Violation]:
         """No attempt begins for a caller that has gone."""
         end = one.caller_end
@@ -266,7 +295,7 @@
                     del told[key]
             elif seen.what == "new":
                 at = told.get((seen.process, seen.server), inf)
-                if seen.at > at + GRACE + self.history.slack(seen.process, at, seen.at):
+                if seen.at > at + self.history.rules.grace + self.history.slack(seen.process, at, seen.at):
                     yield Violation(
                         "to_drained", seen.at, seen.call, f"{seen.at - at:.3f} s after {seen.server}"
                     )
--- a/rigs/platform/history.py
+++ b/rigs/platform/history.py
@@ -14,6 +14,18 @@
 CATCH_UP = 0.1  # seconds in which a process that stood still reads what lay there
 
 
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """What the settings of the processes allow; times in seconds."""
+
+    attempts_most: int = 4
+    release_wait: float = 0.3  # after a timeout, reset or cancel before the next attempt
+    grace: float = 0.5  # after the list has told a server draining or gone
+    probes: bool = False
+    gap_most: float = 2.0  # that callers are told to stay away; 0: they are told none
+    once: frozenset[str] = frozenset()  # classes whose set-ups may not run twice
+
+
 @dataclass(frozen=True, slots=True)
 class Seen:
     """One thing that was seen; times in seconds."""
@@ -30,7 +42,8 @@
 class History:
     """All that was seen, how late the rig was, and how long each process was kept from running."""
 
-    def __init__(self) -> None:
+    def __init__(self, rules: Rules | None = None) -> None:
+        self.rules = rules or Rules()
         self.seen: list[Seen] = []
         self.late: list[tuple[float, float]] = []  # at, and by how much
         self.kept: dict[str, list[tuple[float, float]]] = defaultdict(list)  # by process: at, for how long
--- a/rigs/platform/rig.py
+++ b/rigs/platform/rig.py
@@ -12,13 +12,16 @@
 import time
 from collections.abc import Coroutine
 from contextlib import suppress
+from copy import deepcopy
 from pathlib import Path
+from typing import Any
 
 from ..process import Process, free_port
-from .history import History
+from .history import History, Rules
 from .servers import DRAINING, GONE, READY, WORD_EVERY, Coordinator, LogServer
 
-SETTINGS = {
+Settings = dict[str, Any]
+SETTINGS: Settings = {
     "groupSize": 1, "overShareWorth": 0.1, "registryMode": "pushed",
     "services": [{"name": "log-lookup", "onTime": 2_000_000, "deadline": 3_000_000, "worth": 1.0,
                   "lateWorth": 0.25, "effect": "read_like"}],
@@ -30,6 +33,7 @@
     "rules": {"drainGrace": 500_000, "coldFrom": 0.29, "cold": 2_000_000, "fallMultiple": 3.0,
               "fall": 3_000_000},
 }  # fmt: skip
+LEFT_MOST = 2500  # milliseconds that a caller waits
 KILL_AFTER = 3.7  # seconds after SIGTERM
 CROSSES = 0.05  # a set-up that crosses a close so closely is sent again, once
 LINES = 3  # open lines to a process
@@ -57,6 +61,42 @@
 STAYS = 35.0  # seconds that a process with calls that stand may take to end
 
 
+def drawn_settings(chance: random.Random) -> Settings:
+    """Those of some other deployment: classes, powers and limits as they may come."""
+    settings = deepcopy(SETTINGS)
+    settings["services"] = []
+    for number in range(chance.randrange(1, 4)):
+        aim = chance.choice((250_000, 800_000, 2_000_000, 4_000_000))
+        settings["services"].append({
+            "name": f"kind-{number}", "onTime": aim, "deadline": int(aim * chance.uniform(1.2, 3.0)),
+            "worth": chance.choice((0.5, 1.0, 3.0)), "lateWorth": 0.25,
+            "effect": chance.choice(("read_like", "non_idempotent")),
+        })  # fmt: skip
+    classes = len(settings["services"])
+    tells = chance.random() < 0.5
+    settings["limits"] |= {
+        "mostTries": chance.choice((1, 2, 4, 5)), "retryAfter": tells,
+        "maxRetryAfter": chance.choice((500_000, 2_000_000)) if tells else 0,
+        "mayProbe": chance.random() < 0.5, "cancelling": chance.random() < 0.5,
+        "dialTimeout": chance.choice((250_000, 500_000)),
+    }  # fmt: skip
+    settings["extra"] |= {"release": chance.choice((150_000, 300_000, 500_000)),
+                          "meanHold": [1_000_000] * classes, "skilledPools": [[0, 1]] * classes}  # fmt: skip
+    settings["rules"]["drainGrace"] = chance.choice((250_000, 500_000))
+    return settings
+
+
+def rules_of(settings: Settings) -> Rules:
+    """What a checker holds the processes to."""
+    limits = settings["limits"]
+    return Rules(
+        attempts_most=limits["mostTries"], release_wait=settings["extra"]["release"] / 1e6,
+        grace=settings["rules"]["drainGrace"] / 1e6, probes=limits["mayProbe"],
+        gap_most=limits["maxRetryAfter"] / 1e6 if limits["retryAfter"] else 0.0,
+        once=frozenset(kind["name"] for kind in settings["services"] if kind["effect"] != "read_like"),
+    )  # fmt: skip
+
+
 class Line:
     """One connection of callers."""
 
@@ -104,7 +144,8 @@
             self.history.add("bye_in", self.node.name, call)
             self.send(message("SIP/2.0 200 OK", call, fields["CSeq"]))
         elif method == "INVITE" and not first[1].startswith("1"):
-            self.history.add("final", self.node.name, call, body, first[1])
+            gap = int(fields.get("P-Gap-Ms", "0")) / 1000
+            self.history.add("final", self.node.name, call, body, first[1], gap)
             if first[1] == "200":
                 self.send(request("ACK", call))
             if call in self.open:
@@ -143,7 +184,10 @@
 class Node:
     """One real process under its name and address, and its callers' way to it."""
 
-    def __init__(self, name: str, history: History, coordinator: Coordinator, held: bool) -> None:
+    def __init__(
+        self, name: str, history: History, coordinator: Coordinator, held: bool, settings: Settings
+    ) -> None:
+        self.settings = settings
         self.name, self.history, self.coordinator = name, history, coordinator
         self.readers: set[asyncio.Future[None]] = set()  # of its lines
         self.port, self.feeds = free_port(), [free_port(), free_port()]
@@ -163,7 +207,7 @@
             "name": self.name, "listen": f"127.0.0.1:{self.port}", "seed": f"{self.life:04x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "coordinator": f"127.0.0.1:{self.feeds[0]}", "known": self.coordinator.known(self.name),
-            "settings": SETTINGS,
+            "settings": self.settings,
         }  # fmt: skip
         self.file.write_text(json.dumps(document))
 
@@ -324,16 +368,19 @@
 class Rig:
     """All of it, for so many seconds."""
 
-    def __init__(self, seed: int, processes: int, seconds: float, rate: float = 25.0) -> None:
+    def __init__(
+        self, seed: int, processes: int, seconds: float, drawn: bool = False, rate: float = 25.0
+    ) -> None:
         self.chance = random.Random(seed)
-        self.history = History()
+        self.settings = drawn_settings(random.Random(f"settings {seed}")) if drawn else SETTINGS
+        self.history = History(rules_of(self.settings))
         self.seconds, self.rate, self.ids = seconds, rate, 0
         self.names = [f"{number:04x}" for number in range(processes)]
         self.servers = [self.server(number, number % 2) for number in range(4)]
         self.all_servers = list(self.servers)
         self.coordinator = Coordinator(self.servers, self.history)
         self.nodes = [
-            Node(name, self.history, self.coordinator, held=bool(number % 2))
+            Node(name, self.history, self.coordinator, held=bool(number % 2), settings=self.settings)
             for number, name in enumerate(self.names)
         ]
         self.tasks: set[asyncio.Future[None]] = set()
@@ -411,9 +458,11 @@
         chance, life = self.chance, node.life
         manner = chance.choices(list(MANNERS), list(MANNERS.values()))[0]
         own = manner in ("close", "half-close", "reset") or chance.random() < 0.1
-        left = chance.randrange(500, 2500)
+        kind = chance.choice(self.settings["services"])
+        most = min(kind["deadline"] // 1000, LEFT_MOST)
+        left = chance.randrange(most // 5, most)
         path = f"P-Path: dest:{chance.choice((-1, 0, 1))};width:1;via:-1"
-        invite = request("INVITE", call, "P-Kind: log-lookup", f"P-Time-Left: {left}", path,
+        invite = request("INVITE", call, f"P-Kind: {kind['name']}", f"P-Time-Left: {left}", path,
                          number=f"{0:012x}{node.name}", body="offer\r\n")  # fmt: skip
         line = await self.line(node, own)
         for _ in range(2):
@@ -421,7 +470,7 @@
                 return
             answered = line.open[call] = asyncio.Event()
             sent_at = time.monotonic()
-            self.history.add("invite", node.name, call, number=left / 1000)
+            self.history.add("invite", node.name, call, text=kind["name"], number=left / 1000)
             if manner == "cancel_behind":
                 self.end(node, line, call, "cancel", invite)
                 return
@@ -556,7 +605,7 @@
             server.die()
 
 
-def run(seed: int, processes: int, seconds: float) -> tuple[Rig, History]:
+def run(seed: int, processes: int, seconds: float, drawn: bool = False) -> tuple[Rig, History]:
     """One seed. The program's processes are ended by their ids."""
-    rig = Rig(seed, processes, seconds)
+    rig = Rig(seed, processes, seconds, drawn)
     return rig, asyncio.run(rig.run())
--- a/rigs/platform/servers.py
+++ b/rigs/platform/servers.py
@@ -166,6 +166,10 @@
             link.open.add(call)
             way = self.chance.choices(list(WAYS), list(WAYS.values()))[0]
             asyncio.get_running_loop().call_later(self.chance.uniform(0, 0.08), self.act, link, call, way)
+        elif said["t"] == "hb":
+            self.history.add("probe", link.process, server=self.id)
+            if not self.mute:
+                link.say("hb_ok", call, 1, load="x0:1000;x1:1000")
         elif said["t"] == "down":
             self.history.add("down_in", self.process_of.get(call, ""), call, self.id, str(said["c"]))
             link.open.discard(call)
--- a/tests/test_crossings_platform.py
+++ b/tests/test_crossings_platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import sys
 import unittest
 from collections.abc import Callable
@@ -10,7 +11,8 @@
 from support import ROOT
 
 from rigs.platform.checker import Checker, Violation
-from rigs.platform.history import History, Seen
+from rigs.platform.history import History, Rules, Seen
+from rigs.platform.rig import SETTINGS, drawn_settings, rules_of
 
 sys.path.insert(0, str(ROOT / "benchmarks"))
 from platform_endurance import judged
@@ -49,7 +51,7 @@
 
 
 def found(seen: list[Seen], history: History | None = None) -> list[Violation]:
-    history = history or History()
+    history = history or History(Rules(once=frozenset({"once"})))
     history.seen = sorted(seen, key=lambda one: one.at)
     return Checker(history).violations()
 
@@ -88,6 +90,12 @@
                       Seen(6.31, "down_out", "p", "z", A, "17"), Seen(6.32, "final", "p", "z", "", "500"))),
     ("too_many", more(*(Seen(1.022 + number / 1000, what, "p", "x", C, "17")
                         for number, what in enumerate(("new", "down_out") * 2)))),
+    ("ran_twice", lambda seen: [replace(one, text="once") if (one.call, one.what) == ("x", "invite") else one
+                                for one in seen]),
+    ("ran_twice", more(Seen(6.5, "invite", "p", "v", text="once", number=2.0), Seen(6.51, "new", "p", "v", A),
+                       Seen(6.52, "down_out", "p", "v", A, "17"), Seen(6.53, "final", "p", "v", "", "503"))),
+    ("gap", more(Seen(6.5, "invite", "p", "v", number=2.0), Seen(6.6, "final", "p", "v", "", "503", 2.1))),
+    ("probed", more(Seen(6.5, "probe", "p", server=A))),
     ("for_nobody", more(Seen(6.5, "new", "p", "z", A), Seen(6.51, "down_out", "p", "z", A, "17"))),
     ("caller_unreleased", lambda seen: moved(seen, "x", "bye_in", 4.1)),
     ("caller_unreleased", lambda seen: without(seen, ("x", "bye_in"))),
@@ -160,12 +168,36 @@
         self.assertEqual(found([*once, Seen(3.3, "stopped", "p"), Seen(3.7, "continued", "p")]), [])
 
 
+class DrawnTest(unittest.TestCase):
+    """Settings of other deployments, and what processes are held to by them."""
+
+    def test_a_checker_holds_processes_to_their_settings(self) -> None:
+        self.assertEqual(rules_of(SETTINGS), Rules())
+        drawn = [drawn_settings(random.Random(seed)) for seed in range(200)]
+        rules = [rules_of(settings) for settings in drawn]
+        self.assertEqual({one.attempts_most for one in rules}, {1, 2, 4, 5})
+        self.assertEqual({one.gap_most for one in rules}, {0.0, 0.5, 2.0})
+        for settings, one in zip(drawn, rules, strict=True):
+            once = [kind["name"] for kind in settings["services"] if kind["effect"] == "non_idempotent"]
+            self.assertEqual((set(once), settings["limits"]["mayProbe"]), (one.once, one.probes))
+        allowed = [*kept(), Seen(6.5, "probe", "p", server=A)]
+        self.assertEqual(found(allowed, History(Rules(probes=True))), [])
+        one_less = found(kept(), History(Rules(attempts_most=2)))
+        self.assertEqual([broken.check for broken in one_less], ["too_many"])
+        for limits in (Rules(release_wait=0.5), Rules(grace=0.25)):
+            later = [*kept(), Seen(10.45, "new", "p", "u", C), Seen(10.4, "invite", "p", "u", number=0.5),
+                     Seen(10.46, "down_out", "p", "u", C, "17"),
+                     Seen(10.47, "final", "p", "u", "", "500")]  # fmt: skip
+            self.assertEqual(found(later), [])
+            self.assertEqual(len(found(later, History(limits))), 1)
+
+
 class Endurance(unittest.TestCase):
     """Three processes, terminated, killed, stopped and moved; log servers cut, refused, drained, mute."""
 
     def test_what_outsiders_saw_was_kept(self) -> None:
-        for seed in (1, 2):
-            told = judged(seed, processes=3, seconds=6)
+        for seed, drawn in ((1, False), (2, False), (3, True)):
+            told = judged(seed, 3, 6, drawn)
             print(f"\nplatform: {told}")
             self.assertGreater(told["finals"].get("200", 0), 50, told)
             self.assertGreater(sum(told["faults"].values()), 3, told)
