Put the second front under the same faults and the same checker: rigs/sip

Need: the second front's endings were forced on a loop alone; nothing judged several of its processes killed, stopped, ended and given a new list with calls in flight. Change: callers on UDP and TCP (cancel, cancel behind the set-up, close, half-close, reset, BYE), log servers on both (answers, refusals, ringing, slow, silent, two branches, a 200 that crosses the CANCEL, death, standstill), processes ended, killed, stopped and told a new list; judged by the platform's checker, whose rules say that a SIP call outlives its caller's connection and a log server's death (nothing tells either). Checked: each rule is seen failing without its flag, and kept with it.

--- a/rigs/platform/history.py
+++ b/rigs/platform/history.py
@@ -24,6 +24,8 @@
     probes: bool = False
     gap_most: float = 2.0  # that callers are told to stay away; 0: they are told none
     once: frozenset[str] = frozenset()  # classes whose set-ups may not run twice
+    # The second front: a call outlives its caller's connection (until no ACK comes) and a log server's death.
+    outlives: bool = False
 
 
 @dataclass(frozen=True, slots=True)
