Bound what waits on a link of the fleet by bytes as well

Cause: short frames on a link were bounded by number alone (512); views and words of the book are as long as 768 KiB each, so what waited for one member that does not read could reach 400 MB (README, 'What remains'). Change: QUEUE_BYTES_MOST, twice the longest frame; the oldest short frames go first, as by number.

--- a/mallowquay/fleet/links.py
+++ b/mallowquay/fleet/links.py
@@ -62,7 +62,8 @@
 DIAL_WITHIN = timedelta(milliseconds=1000)
 DIAL_FIRST, DIAL_LONGEST = 50 * MILLISECOND, 2000 * MILLISECOND
 SETTLES = timedelta(seconds=1)  # two connections within it were dialled at once
-QUEUE_MOST = 512  # short frames that wait on one link
+QUEUE_MOST = 512  # short frames that wait on one link,
+QUEUE_BYTES_MOST = 2 * FRAME_MOST  # and their bytes: the largest view among them, with room for the rest
 BULK_MOST = 512 * 1024  # bytes of long things that wait on one link
 PIECE_MOST = 16 * 1024
 CHUNK_MOST = 16 * 1024
@@ -99,7 +100,7 @@
         self.urgent: deque[bytes] = deque()
         self.short: deque[bytes] = deque()
         self.bulk: deque[bytes] = deque()
-        self.bulk_bytes = 0
+        self.bulk_bytes = self.queued_bytes = 0  # of long things, and of short frames
         self.writing = False
         self.dropped = 0
 
@@ -114,14 +115,17 @@
             self.bulk_bytes += len(data)
             self.bulk.append(data)
         else:
-            kind = self.urgent if is_urgent(frame) else self.short
-            if len(self.urgent) + len(self.short) >= QUEUE_MOST:
+            while (
+                len(self.urgent) + len(self.short) >= QUEUE_MOST
+                or self.queued_bytes + len(data) > QUEUE_BYTES_MOST
+            ):
                 # The oldest heartbeat says least.
                 self.dropped += 1
                 if not self.short:
                     return False
-                self.short.popleft()
-            kind.append(data)
+                self.queued_bytes -= len(self.short.popleft())
+            (self.urgent if is_urgent(frame) else self.short).append(data)
+            self.queued_bytes += len(data)
         self.pump()
         return True
 
@@ -134,6 +138,7 @@
         for waiting in (self.urgent, self.short):
             while waiting and (size == 0 or size + len(waiting[0]) <= CHUNK_MOST):
                 size += len(waiting[0])
+                self.queued_bytes -= len(waiting[0])
                 parts.append(waiting.popleft())
         if self.bulk and size < CHUNK_MOST:
             self.bulk_bytes -= len(self.bulk[0])
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -22,13 +22,16 @@
     Bulk,
     Frame,
     Hello,
+    Key,
     Lasting,
+    Lead,
     Leave,
     Life,
     Ping,
     Refused,
     Rumour,
     State,
+    View,
     Welcome,
     decode,
     encode,
@@ -214,6 +217,12 @@
         for number in range(2000):
             link.queue(Ping(number, 2))
         assert len(link.short) + len(link.urgent) <= links_module.QUEUE_MOST and link.dropped > 1000
+        assert link.queued_bytes == sum(map(len, [*link.short, *link.urgent]))
+        view = View(Key(1, 1, 1), "a", (), (), bytes(links_module.BOOK_MOST))
+        for _ in range(10):  # frames as long as they may be, to an end that does not read
+            link.queue(Lead(1, view.key, view.key, 1, 1, 1, view))
+        assert link.queued_bytes <= links_module.QUEUE_BYTES_MOST < 10 * links_module.BOOK_MOST
+        assert link.queued_bytes == sum(map(len, [*link.short, *link.urgent]))
 
     asyncio.run(body())
 
