Rig: floods that leave callers no place, and a coordinator that garbles and repeats

Change: processes of the rig have 160 descriptors; a flood opens 120 connections that say nothing, half a message or what is none. The coordinator may send what is no frame, a frame that is not the next, a cut record or an unknown state, and events from long ago.

--- a/rigs/platform/checker.py
+++ b/rigs/platform/checker.py
@@ -267,7 +267,9 @@
                 continue  # the answer crossed the close: nobody can tell whether it came
             else:
                 since = max([up.at] + [seen.at for seen in one.of("cancel_out") if seen.at >= up.at])
-            after = [seen for seen in one.seen if seen.at >= up.at and seen.server == up.server]
+            # Its id may have come again meanwhile.
+            whole = self.by_call[one.first.call]
+            after = [seen for seen in whole if seen.at >= up.at and seen.server == up.server]
             over = next((seen for seen in after if seen.what in ("down_in", "release_out", "died")), None)
             cut = any(
                 seen.what in ("link_end", "link_lost") and seen.at <= since + RELEASED for seen in after
--- a/rigs/platform/rig.py
+++ b/rigs/platform/rig.py
@@ -34,6 +34,7 @@
               "fall": 3_000_000},
 }  # fmt: skip
 LEFT_MOST = 2500  # milliseconds that a caller waits
+SOCKETS, FLOOD = 160, 120  # descriptors of a process, and connections that leave it no place
 KILL_AFTER = 3.7  # seconds after SIGTERM
 CROSSES = 0.05  # a set-up that crosses a close so closely is sent again, once
 LINES = 3  # open lines to a process
@@ -55,6 +56,9 @@
     "drain",
     "move",
     "mute",
+    "garbles",
+    "repeats",
+    "flood",
 )
 # What befalls an upgrade. Its processes share a listening socket and count as one.
 UPGRADES = ("plain", "plain", "old_stopped", "new_stopped", "old_killed", "new_killed", "third")
@@ -205,7 +209,7 @@
     def write_config(self) -> None:
         document = {
             "name": self.name, "listen": f"127.0.0.1:{self.port}", "seed": f"{self.life:04x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS},
             "coordinator": f"127.0.0.1:{self.feeds[0]}", "known": self.coordinator.known(self.name),
             "settings": self.settings,
         }  # fmt: skip
@@ -378,7 +382,7 @@
         self.names = [f"{number:04x}" for number in range(processes)]
         self.servers = [self.server(number, number % 2) for number in range(4)]
         self.all_servers = list(self.servers)
-        self.coordinator = Coordinator(self.servers, self.history)
+        self.coordinator = Coordinator(self.servers, self.history, self.chance)
         self.nodes = [
             Node(name, self.history, self.coordinator, held=bool(number % 2), settings=self.settings)
             for number, name in enumerate(self.names)
@@ -565,12 +569,31 @@
             await node.start()
         node.busy = False
 
+    async def flood(self, node: Node) -> None:
+        """Connections that say nothing, half a message, or what is none: more than the process has places."""
+        writers: list[asyncio.StreamWriter] = []
+        words = (b"", b"", b"INVITE sip:", b"\0\xff\r\n\r\n", request("INVITE", "x").encode(),
+                 b"OPTIONS sip:ping@net SIP/2.0\r\nContent-Length: 99999\r\n\r\n")  # fmt: skip
+        for _ in range(FLOOD):
+            if time.monotonic() >= node.new_until or not node.passed:
+                break
+            with suppress(OSError):
+                _, writer = await asyncio.open_connection("127.0.0.1", node.port)
+                writer.write(self.chance.choice(words))
+                writers.append(writer)
+        await asyncio.sleep(self.chance.uniform(0.0, 2.0))
+        for writer in writers:
+            writer.transport.abort()
+
     async def elsewhere(self, kind: str) -> None:
         chance, ready = (
             self.chance,
             [server for server in self.servers if server.state == READY and server.listeners],
         )
-        if kind in ("silent", "dead"):
+        if kind == "flood":
+            await self.flood(chance.choice(self.nodes))
+            return
+        if kind in ("silent", "dead", "garbles", "repeats"):
             self.coordinator.set_mode(kind)
             await asyncio.sleep(chance.uniform(0.5, 2.5))
             self.coordinator.set_mode("speaks")
--- a/rigs/platform/servers.py
+++ b/rigs/platform/servers.py
@@ -17,6 +17,7 @@
 
 WORD_EVERY = 0.2  # seconds between two words of free lines
 READY, DRAINING, GONE = 0, 1, 2
+SPEAKING = ("speaks", "repeats")  # modes of the coordinator in which it tells what there is
 STATES = ("in_service", "terminating", "terminated")
 HOLD_MOST = 1.2  # seconds that a call stands
 # What a log server does with a set-up, and how often of a hundred.
@@ -251,8 +252,8 @@
 class Coordinator:
     """Tells each process the list, at one of two addresses of its own."""
 
-    def __init__(self, servers: list[LogServer], history: History) -> None:
-        self.servers, self.history = servers, history
+    def __init__(self, servers: list[LogServer], history: History, chance: random.Random) -> None:
+        self.servers, self.history, self.chance = servers, history, chance
         self.events: list[dict[str, bytes]] = [{}]  # the first is the whole list, in `known`
         self.mode = "speaks"
         self.writers: set[asyncio.StreamWriter] = set()
@@ -292,18 +293,38 @@
             if self.mode == "dead":
                 writer.transport.abort()
                 return
-            while self.mode == "speaks" and number < len(self.events):
+            if self.mode == "garbles":  # what is behind it must not be taken
+                writer.write(self.garbled(process, number))
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+                return
+            if self.mode == "repeats" and number > 1:  # an event again, and one from long ago
+                for again in (number - 1, 1):
+                    old = self.events[again][process]
+                    writer.write(FRAME.pack(9 + len(old), again + 1, CHANGES) + old)
+            while self.mode in SPEAKING and number < len(self.events):
                 record = self.events[number][process]
                 number += 1
                 ident, state = RECORD.unpack(record)[0], RECORD.unpack(record)[3]
                 self.history.add("told", process, "", f"s-{ident:08x}", str(state))
                 writer.write(FRAME.pack(9 + len(record), number, CHANGES) + record)
-            if self.mode == "speaks":
+            if self.mode in SPEAKING:
                 writer.write(FRAME.pack(9, 0, NOTHING))
             with suppress(TimeoutError):
                 async with asyncio.timeout(0.9), self.news:
                     await self.news.wait()
 
+    def garbled(self, process: str, number: int) -> bytes:
+        """A frame that is none, or one that is not the next."""
+        record = self.events[-1].get(process, bytes(RECORD.size))
+        return self.chance.choice((
+            bytes(40), b"\xff" * 40, FRAME.pack(9 + len(record), number + 5, CHANGES) + record,
+            FRAME.pack(9 + len(record), number + 1, 7) + record,
+            FRAME.pack(9 + 13, number + 1, CHANGES) + bytes(13),
+            FRAME.pack(9 + len(record), number + 1, CHANGES) + record[:5],
+            FRAME.pack(9 + len(record), number + 1, CHANGES) + b"\xff" * len(record),
+        ))  # fmt: skip
+
     def set_mode(self, mode: str) -> None:
         self.mode = mode
         for writer in list(self.writers) if mode == "dead" else ():
--- a/tests/test_crossings_platform.py
+++ b/tests/test_crossings_platform.py
@@ -188,6 +188,13 @@
                    for one in kept() if (one.call, one.what) != ("x", "bye_in")]  # fmt: skip
         for rules_there, checks in ((Rules(), ["caller_unreleased"]), (Rules(outlives=True), [])):
             self.assertEqual([broken.check for broken in found(unheard, History(rules_there))], checks)
+        again = [Seen(6.5, "invite", "p", "u", number=2.0), Seen(6.6, "new", "p", "u", B),
+                 Seen(6.7, "caller_end", "p", "u", text="close"), Seen(6.9, "up", "p", "u", B, "late"),
+                 Seen(7.0, "invite", "p", "u", number=2.0), Seen(7.1, "down_in", "p", "u", B, "16"),
+                 Seen(7.2, "final", "p", "u", "", "482")]  # fmt: skip
+        self.assertEqual(found([*kept(), *again]), [])
+        never = [one for one in again if one.what != "down_in"]
+        self.assertEqual([one.check for one in found([*kept(), *never])], ["server_unreleased"])
         late = [Seen(6.5, "invite", "p", "u", number=2.0), Seen(6.6, "new", "p", "u", B),
                 Seen(6.7, "caller_end", "p", "u", text="close"), Seen(6.9, "up", "p", "u", B, "late"),
                 Seen(13.5, "down_in", "p", "u", B, "16")]  # fmt: skip
