--- a/Makefile
+++ b/Makefile
@@ -27,9 +27,10 @@
 endurance:
 	$(PYTHON) -m rigs.sip_peers --calls 100000
 
-# Several real processes on the platform's front, killed, stopped, restarted and moved: half a minute a seed.
+# Several real processes, killed, stopped, restarted, upgraded and moved: half a minute a seed. DRAWN=1: with settings of
+# some other deployment; SECOND=1: the second front.
 platform-endurance:
-	PYTHONPATH=. $(PYTHON) benchmarks/platform_endurance.py --seed $(SEED)
+	PYTHONPATH=. $(PYTHON) benchmarks/platform_endurance.py --seed $(SEED) $(if $(DRAWN),--drawn) $(if $(SECOND),--second)
 
 # Formulas against emulator and real program: in full some ten minutes on 8 cores, SHORT=1 under 45 s.
 dimension-check:
