Rig: judge a set-up that comes again to a process started since as that process's own

Change: attempts are counted for each life; no caller is held gone, and no end matched, across a kill. Checked: five attempts in one life are found, with a kill between them not.

--- a/tests/test_crossings_platform.py
+++ b/tests/test_crossings_platform.py
@@ -201,6 +201,13 @@
         for rules_there, checks in ((Rules(), ["server_unreleased"]), (Rules(outlives=True), [])):
             seen = found([*kept(), *late], History(rules_there))
             self.assertEqual([broken.check for broken in seen], checks)
+        several = [Seen(20.0, "start", "p"), Seen(20.1, "ready", "p"),
+                   Seen(20.5, "invite", "p", "u", number=3.0),
+                   *(Seen(20.6 + number / 100, what, "p", "u", A, "17")
+                     for number, what in enumerate(("new", "down_out") * 5)),
+                   Seen(21.5, "final", "p", "u", "", "500")]  # fmt: skip
+        self.assertEqual({one.check for one in found([*kept(), *several])}, {"too_many"})
+        self.assertEqual(found([*kept(), *several, Seen(20.625, "killed", "p")]), [])
         for limits in (Rules(release_wait=0.5), Rules(grace=0.25)):
             later = [*kept(), Seen(10.45, "new", "p", "u", C), Seen(10.4, "invite", "p", "u", number=0.5),
                      Seen(10.46, "down_out", "p", "u", C, "17"),
