--- a/rigs/platform/checker.py
+++ b/rigs/platform/checker.py
@@ -198,7 +198,7 @@
             if not before or self.went(process, before[-1].at, new.at, "killed", "exit", "half_killed"):
                 continue
             if self.history.rules.outlives and self.broke(one, new.at):
-                continue  # an answer to the killed process comes again: its end is not that of a later attempt
+                continue  # an answer to the killed process comes again: its end is not a later attempt's
             last = before[-1]
             ended = next((seen for seen in whole[whole.index(last) + 1 :]
                           if seen.server == last.server and seen.what in ENDS), None)  # fmt: skip
