Tell the other process of an upgrade of releases that neither of the two had taken

Change: whoever passes such a release on says 'over' to the other, as for calls of its own. Test: test_a_release_of_a_process_before_that_both_are_told, seen failing before.

--- a/mallowquay/fronts/platform/front.py
+++ b/mallowquay/fronts/platform/front.py
@@ -531,6 +531,7 @@
         if call_id in self._twin.ids:
             self._twin.send("down", id=call_id, cause=cause)
         elif not self.over.holds(call_id):
+            self._twin.over(call_id)  # it may be told there as well
             self.send_release(call_id, f"sip:{call_id}@net", cause)
 
     def send_release(self, call_id: str, uri: str, cause: int, first: Connection | None = None) -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -197,6 +197,22 @@
         self.program.terminate()
         self.assertEqual(self.program.process.wait(WAIT), 0)
 
+    def test_a_release_of_a_process_before_that_both_are_told(self) -> None:
+        """Term: a call is released once towards its caller, also one that neither of the two took."""
+        self.set_up("00000000000000e4")  # its connection has spoken
+        self.upgrade()
+        links = [server.sock for server in self.log_servers]
+        self.on_first_link()
+        self.log_servers[0].say("down", "00000000000000e3", cause=16)
+        self.assertEqual(self.caller.read()["call-id"], "00000000000000e3")
+        self.program.terminate()
+        self.program.wait_for("successor_has_connections")
+        self.log_servers[0].sock, self.log_servers[0].kept = links[0], b""
+        self.log_servers[0].say("down", "00000000000000e3", cause=16)
+        self.assertEqual(self.log_servers[0].read()["t"], "ack")
+        self.caller.send("OPTIONS", "p")
+        self.assertEqual(self.caller.read()["call-id"], "p")  # and nothing before
+
     def test_an_id_that_was_given_up_before_the_successor_came(self) -> None:
         """Term: 300 ms after a cancel before a resend; the two processes count as one."""
         document = json.loads(Path(self.file).read_text())
