Second front: begin the wait before a resend as the CANCEL leaves, not as the attempt is given up

Change: as a late CANCEL leaves, Calls.given_up_late begins the wait anew, for the call's next attempt and for an id that comes again. Attempts that wait for their time look at it again.

--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -412,6 +412,16 @@
         self._do(lambda: self._decisions.report(Ended(attempt, ending, False, load or {})))
         return True
 
+    def given_up_late(self, attempt: Attempt) -> None:
+        """The log server hears only now that an attempt is given up: the wait before a resend begins anew."""
+        until = self._clock() + self._release_wait
+        call = self._calls.get(attempt.request.id)
+        if call is None:
+            self.hold_back(attempt.request.id, until)
+            self.gave_up(attempt.request.id, until)
+        else:  # what is out already stays out; what waits for its time waits on
+            call.not_before = max(call.not_before, until)
+
     def load_told(self, server: str, load: Load) -> None:
         """Unasked word of a server's load."""
         self.figures.load_told(server, load)
@@ -529,6 +539,9 @@
         call = self._calls.get(attempt.request.id)
         if call is None or call.attempt is not attempt or call.state is not CallState.TRYING:
             return
+        if self._clock() < call.not_before and not told:  # it became later meanwhile
+            self._at(call.not_before, lambda: self._start(attempt))
+            return
         if self._clock() - call.request.taken_at >= SURELY_HERE:
             presence = self.presence(call)
             if presence is Presence.GONE:
--- a/mallowquay/fronts/sip/servers.py
+++ b/mallowquay/fronts/sip/servers.py
@@ -141,6 +141,8 @@
         """A response of the log server."""
         if response.status < 200:
             if self.withdrawn and isinstance(transaction, InviteClient):
+                if not self.cancelled:
+                    self.side.calls.given_up_late(self.attempt)
                 self._cancel(transaction)
         elif response.status < 300:
             self.accepted(response)
@@ -263,6 +265,9 @@
         if self.caller_gone(attempt.request.id):
             self.calls.caller_left(attempt.request.id)
             return
+        if self.clock() < call.not_before:  # one before it was given up only since
+            self.layer.later(call.not_before - self.clock(), lambda: self._begin(attempt, opened))
+            return
         hop = Hop(server.transport, server.address)
         connection = self.layer.transport.outgoing(hop.address) if hop.reliable else None
         if hop.reliable and connection is None:
--- a/rigs/platform/checker.py
+++ b/rigs/platform/checker.py
@@ -154,6 +154,9 @@
         stood = next((final for final in one.of("final") if final.text == "200"), None)
         if stood is None or one.of("bye_out", "cancel_out"):
             return
+        end = one.caller_end
+        if self.history.rules.outlives and end is not None and end.text in CLOSES:
+            return  # it acknowledges nothing: the call ends without its ACK
         by = next((up.server for up in one.of("up") if up.text == stood.server), "")
         ends = ("release_out",) if self.history.rules.outlives else ("release_out", "died")
         over = next((seen for seen in one.of(*ends) if seen.server == by), None)
--- a/tests/test_crossings_sip.py
+++ b/tests/test_crossings_sip.py
@@ -371,6 +371,37 @@
 
 
 class Endings(FrontCase):
+    async def test_the_release_wait_begins_as_the_cancel_leaves(self) -> None:
+        """Term: 300 ms after a cancel before a resend; no CANCEL leaves before a provisional response."""
+        self.caller.write(self.message("INVITE", "late"))
+        (invite,) = await self.until(lambda: self.heard(self.u0.sock))
+        self.u0.far = ("127.0.0.1", self.far)
+        self.advance(2000 * MS)  # it runs out of time, unheard; the next one would leave in 300 ms
+        await self.turns()
+        self.advance(250 * MS)
+        self.heard(self.u0.sock)  # copies, before it was given up
+        self.u0.reply(invite, 100)
+        (cancel,) = await self.until(lambda: self.heard(self.u0.sock))
+        self.assertTrue(cancel.first.startswith("CANCEL "))
+        self.advance(299 * MS)
+        await self.turns()
+        self.assertEqual(self.heard(self.u1.sock), [])
+        self.advance(MS)
+        (second,) = await self.until(lambda: self.heard(self.u1.sock))
+        self.assertTrue(second.first.startswith("INVITE "))
+
+    async def test_the_same_of_an_id_that_comes_again(self) -> None:
+        """Term: 300 ms after a cancel before a resend, also where its caller gave up and asks once more."""
+        self.caller.write(self.message("INVITE", "again"))
+        (invite,) = await self.until(lambda: self.heard(self.u0.sock))
+        self.u0.far = ("127.0.0.1", self.far)
+        self.caller.write(self.message("CANCEL", "again"))
+        await self.until(lambda: self.calls.pending == 0)
+        self.advance(250 * MS)
+        self.u0.reply(invite, 100)
+        await self.until(lambda: self.heard(self.u0.sock))
+        self.assertEqual(max(self.calls.held_back().values()), self.now + 300 * MS)
+
     async def test_a_second_answer_of_another_tag_leaves_the_call_that_stands(self) -> None:
         """No call ends unasked, and its end is told, whatever becomes of the second answer's dialog."""
         _, invite = await self.stand("c", self.u0)
