Let one place hold an attempt for its release wait, and release only calls that are still held

Need: read again as a whole, the change had the wait of an attempt in two places (_dispatch and _start), and sent a 'bye' to the other process for a call that was over already, where its connection closed before the answer was confirmed. Change: _start alone waits; a closed connection's unconfirmed calls are looked up first.

--- a/mallowquay/core/calls.py
+++ b/mallowquay/core/calls.py
@@ -524,10 +524,7 @@
             return
         call.attempt, call.state, call.last = attempt, CallState.TRYING, attempt
         self._at(now + decision.wait, lambda: self._timed_out(attempt))
-        if now < call.not_before:  # never before the release wait is over
-            self._at(call.not_before, lambda: self._start(attempt))
-        else:
-            self._start(attempt)
+        self._start(attempt)
 
     def start(self, attempt: Attempt) -> None:
         """An attempt that the servers' side kept back may leave now: it does if it is still wanted."""
@@ -539,7 +536,7 @@
         call = self._calls.get(attempt.request.id)
         if call is None or call.attempt is not attempt or call.state is not CallState.TRYING:
             return
-        if self._clock() < call.not_before and not told:  # it became later meanwhile
+        if self._clock() < call.not_before and not told:  # never before the release wait is over
             self._at(call.not_before, lambda: self._start(attempt))
             return
         if self._clock() - call.request.taken_at >= SURELY_HERE:
--- a/mallowquay/fronts/platform/handover.py
+++ b/mallowquay/fronts/platform/handover.py
@@ -171,7 +171,8 @@
             connection.standing.clear()
             self._front.give_up(connection)
             for call_id in connection.leaving:  # their callers have not heard that they stand
-                self._front.caller_released(call_id, NORMAL_CLEARING)
+                if self._calls.get(call_id) is not None:
+                    self._front.caller_released(call_id, NORMAL_CLEARING)
 
     def _heard_there(self, call_id: str) -> None:
         """The successor has carried a release out, or an answer has left whole there."""
