Rig: allow a crowd one set-up in 200, and a process its slack before it is killed

Change: such set-ups count as turned away, and are a violation beyond one in 200 of all; without a flood they are as before. A kill excuses up to the end of the extended time. Checked: both limits by histories on either side.

--- a/rigs/platform/rig.py
+++ b/rigs/platform/rig.py
@@ -571,6 +571,7 @@
 
     async def flood(self, node: Node) -> None:
         """Connections that say nothing, half a message, or what is none: more than the process has places."""
+        self.history.add("flood", node.name)
         writers: list[asyncio.StreamWriter] = []
         words = (b"", b"", b"INVITE sip:", b"\0\xff\r\n\r\n", request("INVITE", "x").encode(),
                  b"OPTIONS sip:ping@net SIP/2.0\r\nContent-Length: 99999\r\n\r\n")  # fmt: skip
--- a/tests/test_crossings_platform.py
+++ b/tests/test_crossings_platform.py
@@ -208,6 +208,18 @@
                    Seen(21.5, "final", "p", "u", "", "500")]  # fmt: skip
         self.assertEqual({one.check for one in found([*kept(), *several])}, {"too_many"})
         self.assertEqual(found([*kept(), *several, Seen(20.625, "killed", "p")]), [])
+        stood_still = [Seen(6.4, "stopped", "p"), Seen(6.5, "invite", "p", "u", number=0.5),
+                       Seen(6.8, "continued", "p"), Seen(7.3, "killed", "p")]  # fmt: skip
+        self.assertEqual(found([*kept(), *stood_still]), [])  # it had until 7.45 s
+        later = [replace(one, at=7.6) if one.what == "killed" else one for one in stood_still]
+        self.assertEqual([one.check for one in found([*kept(), *later])], ["no_answer"])
+        crowd = [Seen(6.4, "flood", "p"), Seen(6.5, "invite", "p", "u", number=2.0),
+                 Seen(6.51, "resent", "p", "u")]  # fmt: skip
+        many = [Seen(6.6, what, "p", f"many-{number}", text=text, number=2.0)
+                for number in range(200) for what, text in (("invite", ""), ("final", "503"))]  # fmt: skip
+        self.assertEqual([one.check for one in found([*kept(), *crowd])], ["turned_away"])
+        self.assertEqual([one.check for one in found([*kept(), *crowd[1:], *many])], ["no_answer"])
+        self.assertEqual(found([*kept(), *crowd, *many]), [])
         for limits in (Rules(release_wait=0.5), Rules(grace=0.25)):
             later = [*kept(), Seen(10.45, "new", "p", "u", C), Seen(10.4, "invite", "p", "u", number=0.5),
                      Seen(10.46, "down_out", "p", "u", C, "17"),
