Let a list of the other process that cannot be read change nothing

Need: read again, the list that the two processes of an upgrade pass on raised an error past the wire where another version says it otherwise, and a state without a number could end the start. Change: such a list is logged and left; the successor passes its own on unless the numbers are alike. Test: test_a_list_that_cannot_be_read_changes_nothing, seven spoilt lists.

--- a/mallowquay/assembly/platform.py
+++ b/mallowquay/assembly/platform.py
@@ -118,7 +118,7 @@
         twin.takes["list"] = self._learn_list
         twin.catch_up()
         twin.serve()
-        if before is not None and before["index"] < index:
+        if before is not None and before.get("index") != index:  # who has the older one learns the other's
             self._pass_list()
         heart.addresses = {"name": platform.name, "at": f"{host}:{port}"}
 
@@ -133,7 +133,10 @@
             self.twin.send("list", **self._tell_list())
 
     def _learn_list(self, told: Packet) -> None:
-        self.coordinator.learn(told["index"], read_servers(told["servers"], self._unix))
+        try:
+            self.coordinator.learn(int(told["index"]), read_servers(told["servers"], self._unix))
+        except (ConfigError, *UNUSABLE) as fault:  # another version may say other things
+            log.error("list_of_the_other_unusable", fault=f"{type(fault).__name__}: {fault}")
 
     def _share(self, servers: int) -> None:
         """Each log server on the list has its descriptor, whatever callers hold."""
--- a/tests/test_crossings_upgrade.py
+++ b/tests/test_crossings_upgrade.py
@@ -474,6 +474,19 @@
         self.log_servers[0].read()
         self.assertGreaterEqual(time.monotonic(), until + 0.3)
 
+    def test_a_list_that_cannot_be_read_changes_nothing(self) -> None:
+        """Term: no bad message takes the process down, and the list of before stands."""
+        entry = self.log_servers[0].entry("terminating")
+        for index, servers in ((99, [{**entry, "addr": "nowhere"}]), (99, [{**entry, "state": "x"}]), (99, 7),
+                               ("x", [entry]), (None, [entry]), (99, [{"id": 1}])):  # fmt: skip
+            self.second.say("list", index=index, servers=servers)
+        self.second.say("list", servers=[])
+        self.second.say("hello")
+        state = self.second.read("state")
+        self.assertEqual((state["index"], [server["state"] for server in state["servers"]]),
+                         (1, ["in_service"] * 2))  # fmt: skip
+        self.assertEqual(self.program.text().count("list_of_the_other_unusable"), 7)
+
     def test_a_successor_is_told_to_end_once_it_has_all(self) -> None:
         """Term: who comes is served: the older one stays for what stands, and takes callers in turn."""
         self.second.say("serves")
