--- a/rigs/platform/rig.py
+++ b/rigs/platform/rig.py
@@ -34,8 +34,8 @@
               "fall": 3_000_000},
 }  # fmt: skip
 LEFT_MOST = 2500  # milliseconds that a caller waits
-# Descriptors of a process, of which callers may use a third also during an upgrade, and connections that leave
-# it no place.
+# Descriptors of a process, of which callers may use a third also during an upgrade, and connections that
+# leave it no place.
 SOCKETS, FLOOD = 400, 300
 KILL_AFTER = 3.7  # seconds after SIGTERM
 CROSSES = 0.05  # a set-up that crosses a close so closely is sent again, once
