--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -31,6 +31,7 @@
 from mallowquay.fronts.platform.connection import Connection
 from mallowquay.fronts.platform.front import PlatformFront
 from mallowquay.net.clock import LATE, Metronome, monotonic
+from mallowquay.net.streams import WRITE_BUFFER_MOST
 from mallowquay.operation.readiness import CALLERS_KNOW, Operation
 from mallowquay.operation.twin import Twin
 from mallowquay.settings.common import common
@@ -426,12 +427,12 @@
 
     async def full(self, sock: socket.socket, connection: Connection) -> None:
         """The caller does not read, so that what is written to it stays in this process."""
-        connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        stuck = 0
-        while stuck < 20:
-            stuck = stuck + 1 if connection.stream.writing() else 0
-            if not stuck:
-                connection.write([b"SIP/2.0 100 Trying\r\nContent-Length: 0\r\n\r\n" * 64])
+        for end in (connection.stream.socket, sock):  # neither buffer of the kernel grows any more
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        # So much waits here that what the kernel takes meanwhile does not reach what is written next.
+        while len(connection.stream._write_buffer) < WRITE_BUFFER_MOST // 2:
+            self.assertTrue(connection.write([b"SIP/2.0 100 Trying\r\nContent-Length: 0\r\n\r\n" * 64]))
             await asyncio.sleep(0)
 
     async def test_a_release_that_did_not_leave_before_its_connection_closed_comes_on_another(self) -> None:
