--- a/review/2/case.py
+++ b/review/2/case.py
@@ -88,27 +88,28 @@
     for event in told:
         if event["what"] == "invite":
             own[event["server"], event["call"]] = numbers[event["number"].partition("@")[0]]
-    ends = {}  # by the caller's call: when its standing call ended, whether the log server could send a release
-    for event in told:
-        if event["what"] == "answer":
-            call = own[event["server"], event["call"]]
-            ends.pop(call.call_id, None)
-            if killed_at is not None and event["server"] == dies and event["at"] < killed_at:
-                ends[call.call_id] = (killed_at, False, dies)
-        elif event["what"] == "release":
-            call = own[event["server"], event["call"]]
-            ends[call.call_id] = (event["at"], True, event["server"])
+    own = {key: call.call_id for key, call in own.items()}
     broken, stood = [], 0
-    for call_id, (ended, released, server) in ends.items():
-        call = callers.calls[call_id]
+    for call in callers.calls.values():
         if not call.finals or call.finals[0][1] != 200:
             continue
+        body = call.finals[0][2]  # its first line but one names the log server by which the call stands
+        server = next(name for name in names if b"o=%s " % name.encode() in body)
+        at = {
+            e["what"]: e["at"]
+            for e in told
+            if e["server"] == server and own.get((server, e["call"])) == call.call_id
+        }
+        if "release" in at:  # by the log server: its BYE leaves
+            ended, most, why = at["release"], RELEASED, "was released there"
+        elif killed_at is not None and server == dies and call.finals[0][0] < killed_at:
+            ended, most, why = killed_at, NO_RELEASE, "was cut as the log server died"
+        else:  # it has not ended, or the gatekeeper ended it
+            continue
         stood += 1
-        due = ended + (RELEASED if released else NO_RELEASE) + SLACK
-        if call.bye_at is None or call.bye_at > due:
+        if call.bye_at is None or call.bye_at > ended + most + SLACK:
             when = "never" if call.bye_at is None else f"{call.bye_at - ended:.2f} s after its end"
-            why = "was released there" if released else "was cut as the log server died"
-            broken.append(f"call {call_id} stood at {server} and {why}; its caller was released {when}")
+            broken.append(f"call {call.call_id} stood at {server} and {why}; its caller was released {when}")
     record.say("calls that stood and ended:", stood, "of", len(callers.calls))
     if stood < 50:
         raise NotRun("too few calls stood")
