Second front: release the calls that stood at a log server whose process died

Cause: nothing looked at standing calls when a connection to a log server was lost or a dial refused. Requests that await a response were ended, and the attempt that dialled; only the list cut calls.

Change: Liveness knows the endpoint of each standing call. A lost connection to it is replaced, with growing pauses where it closes at once; a refused dial proves that the process is gone, whoever dialled, and cuts the calls there, as on the platform's front. A new log line tells the loss and the calls at stake.

--- a/mallowquay/fronts/sip/servers.py
+++ b/mallowquay/fronts/sip/servers.py
@@ -15,7 +15,9 @@
 from ..load import read_load
 from ..statuses import ENDINGS, NORMAL_CLEARING, release_ending
 from .dialogs import Dialog, DialogId, id_of_request, of_response
+from .liveness import Endpoint
 from .message import BadMessage, Header, Message, q850_cause, write_request
+from .standing import StandingCalls
 from .transactions import (
     ClientTransaction,
     InviteClient,
@@ -174,14 +176,19 @@
         if self.dialog is None and not self.withdrawn:
             self.dialog = dialog
             self.side.layer.transport.hold(self, self.hop)  # its end may come by this connection
+            self.side.standing.stands(self.hop, self.attempt)
             description = bytes(response.body).decode("utf-8", "replace")
             if self.side.calls.stood(self.attempt, description, read_load(response.get("P-Load"))):
                 return
             self.dialog = None
-            self.side.layer.transport.hold(self)
+            self._leave()
         self.side.bye(dialog, hop, NORMAL_CLEARING)
         self.side.forget_later([dialog.id])
 
+    def _leave(self) -> None:
+        self.side.layer.transport.hold(self)
+        self.side.standing.over(self.hop, self.attempt)
+
     def record(self) -> dict[str, object]:
         """The log server's side of the call that stands, for a copy."""
         host, port = self.hop.address
@@ -191,7 +198,7 @@
     def over(self, cause: int | None) -> None:
         """The call that stands is over; `cause` is told to the log server unless it told us."""
         dialog, self.dialog = self.dialog, None
-        self.side.layer.transport.hold(self)
+        self._leave()
         if dialog is not None and cause is not None:
             self.side.bye(dialog, self.side.hop_to(dialog, self.hop), cause)
         self.side.forget_later(self.acks)
@@ -205,6 +212,7 @@
         self.layer, self.clock, self.new_tag = layer, clock, new_tag
         self.dialogs: dict[DialogId, ServerLeg] = {}
         self.caller_hops: Callable[[str], list[Hop]] = lambda request_id: []  # where an answer is awaited
+        self.standing = StandingCalls(layer.transport, clock, self._cut_at)
         self._beginnings: deque[Beginning] = deque()  # no more than calls that are open
         self._turning = False
         self._heard = clock() - HEARD_WITHIN  # what callers had sent by then is taken
@@ -305,6 +313,10 @@
         """The list says that the call's log server is gone: should it live on, it is told too."""
         self.release(attempt, NORMAL_CLEARING)
 
+    def _cut_at(self, endpoint: Endpoint, attempts: list[Attempt], ending: Ending) -> None:
+        if attempts:
+            self.cut(attempts[0].server, attempts, ending)
+
     def closing(self, server: Server) -> None:
         """A server takes nothing new any more: an INVITE that it has not heard must not be sent again."""
         for attempt in self.calls.trying_at(server.id):
--- /dev/null
+++ b/mallowquay/fronts/sip/standing.py
@@ -0,0 +1,59 @@
+"""Watches the log servers at which calls stand, and tells of those whose calls were cut."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import structlog
+from tornado.ioloop import PeriodicCallback
+
+from ...core.model import Attempt, Clock, Ending
+from .liveness import Endpoint, Liveness
+from .transport import Address, Connection, Hop, Transport
+
+log = structlog.get_logger(part=__name__)
+
+LOOK_INTERVAL = timedelta(milliseconds=50)
+
+Cut = Callable[[Endpoint, list[Attempt], Ending], None]
+
+
+class StandingCalls:
+    """The calls that stand, by the endpoint of their log server; `cut` is told of those that it has lost."""
+
+    def __init__(self, transport: Transport, clock: Clock, cut: Cut) -> None:
+        self._transport, self._clock, self._cut = transport, clock, cut
+        self._liveness = Liveness()
+        self._periodic = PeriodicCallback(self.look, LOOK_INTERVAL)
+        self._periodic.start()
+        transport.dialled = self._dialled
+
+    def stands(self, hop: Hop, attempt: Attempt) -> None:
+        """A call came to stand."""
+        self._liveness.stands(Endpoint(hop.transport, hop.address), attempt, self._clock())
+
+    def over(self, hop: Hop, attempt: Attempt) -> None:
+        """A call that may have stood is over."""
+        self._liveness.over(Endpoint(hop.transport, hop.address), attempt)
+
+    def look(self) -> None:
+        """Replace each connection that is gone."""
+        now = self._clock()
+        for endpoint in self._liveness.endpoints():
+            if endpoint.transport != "tcp":
+                continue
+            if self._transport.outgoing(endpoint.address) is not None:
+                self._liveness.connected(endpoint, now)
+                continue
+            if self._liveness.lost(endpoint, now):
+                calls = len(self._liveness.standing(endpoint))
+                log.info("connection_of_standing_calls_lost", of="%s:%d" % endpoint.address, calls=calls)
+            if self._liveness.dial_due(endpoint, now):
+                self._transport.reach(endpoint.address, lambda result: None)
+
+    def _dialled(self, address: Address, result: Connection | Ending) -> None:
+        """What came of a dial, whoever asked for it."""
+        if result is Ending.CONNECTION_REFUSED:  # standing calls outlive a connection, but not the process
+            endpoint = Endpoint("tcp", address)
+            self._cut(endpoint, self._liveness.standing(endpoint), Ending.CONNECTION_RESET)
--- a/mallowquay/fronts/sip/transport.py
+++ b/mallowquay/fronts/sip/transport.py
@@ -142,6 +142,7 @@
         self.clock = clock
         self.take: Callable[[Message, Hop], None] = lambda message, hop: None
         self.lost: Callable[[Connection, Ending], None] = lambda connection, ending: None
+        self.dialled: Callable[[Address, Connection | Ending], None] = lambda address, result: None
         self._udp: socket.socket | None = None
         self._datagram = bytearray(MESSAGE_MOST + 1)
         self._local: dict[str, Address] = {}
@@ -267,6 +268,7 @@
             result = Connection(stream, address, outgoing=True, now=self.clock())
         except ConnectFailed as refused:
             result = refused.ending
+        self.dialled(address, result)
         waiting = self._coming.pop(address)
         if isinstance(result, Connection):
             if self.admit(result):
--- a/mallowquay/membership/roster.py
+++ b/mallowquay/membership/roster.py
@@ -62,13 +62,15 @@
                 for call in standing
                 if call.stood_at is None or call.attempt is None or call.attempt.sent_at < before
             ]
-        if standing:
-            log.info("standing_calls_cut", server=server, calls=len(standing), ending=ending.name)
-        for call in standing:
-            attempt = call.attempt
-            if attempt is not None:
-                self.hang_up(attempt)
-                self.calls.ended(attempt, ending)
+        self.cut(server, [call.attempt for call in standing if call.attempt is not None], ending)
+
+    def cut(self, server: str, attempts: list[Attempt], ending: Ending) -> None:
+        """Release the calls that stand by these attempts, on both sides."""
+        if attempts:
+            log.info("standing_calls_cut", server=server, calls=len(attempts), ending=ending.name)
+        for attempt in attempts:
+            self.hang_up(attempt)
+            self.calls.ended(attempt, ending)
 
     # --- for the side of each wire
 
