Second front: a refused datagram shows that a log server over UDP is dead

Each new set-up there ran into its time limit.

Cause: Linux hands ICMP errors to an unconnected socket only where it asks for them (IP_RECVERR). A dead port looked like a silent one; RFC 3261, 18.4 wants a failure in sending.

Change: the errors are read from the socket's queue. They end the requests that await a response there (reset, with 300 ms before a resend, where an earlier copy may have run) and cut the calls that stand. The error that the system also returns from the next send, to anybody, no longer fails that one.

Evidence: OverUdp, 2 of 3 failed before; the third fails with the second send taken out.

--- a/mallowquay/fronts/sip/servers.py
+++ b/mallowquay/fronts/sip/servers.py
@@ -217,6 +217,7 @@
         self._turning = False
         self._heard = clock() - HEARD_WITHIN  # what callers had sent by then is taken
         layer.on_stray_response = self._stray
+        layer.transport.refused = self._datagrams_refused
 
     # --- the core's side
 
@@ -317,6 +318,10 @@
         if attempts:
             self.cut(attempts[0].server, attempts, ending)
 
+    def _datagrams_refused(self, addresses: set[Address]) -> None:
+        self.layer.datagrams_refused(addresses)
+        self.standing.datagrams_refused(addresses)
+
     def closing(self, server: Server) -> None:
         """A server takes nothing new any more: an INVITE that it has not heard must not be sent again."""
         for attempt in self.calls.trying_at(server.id):
--- a/mallowquay/fronts/sip/standing.py
+++ b/mallowquay/fronts/sip/standing.py
@@ -55,5 +55,12 @@
     def _dialled(self, address: Address, result: Connection | Ending) -> None:
         """What came of a dial, whoever asked for it."""
         if result is Ending.CONNECTION_REFUSED:  # standing calls outlive a connection, but not the process
-            endpoint = Endpoint("tcp", address)
-            self._cut(endpoint, self._liveness.standing(endpoint), Ending.CONNECTION_RESET)
+            self._refused(Endpoint("tcp", address))
+
+    def datagrams_refused(self, addresses: set[Address]) -> None:
+        """No process listens at these addresses any more."""
+        for address in addresses:
+            self._refused(Endpoint("udp", address))
+
+    def _refused(self, endpoint: Endpoint) -> None:
+        self._cut(endpoint, self._liveness.standing(endpoint), Ending.CONNECTION_RESET)
--- a/mallowquay/fronts/sip/transactions.py
+++ b/mallowquay/fronts/sip/transactions.py
@@ -10,7 +10,7 @@
 
 from ...core.model import Ending
 from .message import Header, Message, copied_headers, write_request, write_response
-from .transport import Connection, Hop, Transport, parameter, stamped
+from .transport import Address, Connection, Hop, Transport, parameter, stamped
 
 COOKIE = "z9hG4bK"
 
@@ -217,7 +217,7 @@
 class ClientTransaction(Transaction):
     """A request that went out."""
 
-    __slots__ = ("branch", "headers", "hop", "method", "parts", "uri", "user", "wanted")
+    __slots__ = ("branch", "copies", "headers", "hop", "method", "parts", "uri", "user", "wanted")
 
     def __init__(
         self,
@@ -234,6 +234,7 @@
         first = State.CALLING if method == "INVITE" else State.TRYING
         super().__init__(layer, (self.branch, method), first)
         self.method, self.uri, self.hop, self.user = method, uri, hop, user
+        self.copies = 0  # sent after the first one
         self.wanted: Callable[[], bool] | None = None  # asked before each copy: the first may have been lost
         self.headers = [("Via", f"{layer.transport.via(hop)};branch={self.branch};rport"), *headers]
         self.parts = write_request(method, uri, self.headers, [], body)
@@ -255,6 +256,7 @@
         def fire() -> None:
             if self.wanted is not None and not self.wanted():
                 return
+            self.copies += 1
             self.layer.transport.send(self.hop, self.parts, self.transport_failed)
             most = 2 * gap if self.method == "INVITE" else min(2 * gap, self.layer.timers.t2)
             self._again(self.layer.timers.t2 if self.state is State.PROCEEDING else most)
@@ -266,6 +268,11 @@
         if self.state in (State.CALLING, State.TRYING, State.PROCEEDING):
             self._give_up(ending)
 
+    def datagram_refused(self) -> None:
+        """Nobody listens where this request went. A copy that came before may have been worked on."""
+        unheard = self.copies == 0 and self.state is not State.PROCEEDING
+        self.transport_failed(Ending.CONNECTION_REFUSED if unheard else Ending.CONNECTION_RESET)
+
     def _give_up(self, ending: Ending) -> None:
         self.terminate()
         self.user.unanswered(self, ending)
@@ -390,6 +397,12 @@
             if hop.reliable and (shared or hop.connection is connection):
                 client.transport_failed(ending)
 
+    def datagrams_refused(self, addresses: set[Address]) -> None:
+        """No process listens at these addresses any more (RFC 3261, 18.4)."""
+        for client in list(self.clients.values()):
+            if client.hop.transport == "udp" and client.hop.address in addresses:
+                client.datagram_refused()
+
     def settled(self) -> bool:
         """Whether no request or refusal of ours may have to be sent again, and all is written."""
         asked = (State.CALLING, State.TRYING, State.PROCEEDING)
--- a/mallowquay/fronts/sip/transport.py
+++ b/mallowquay/fronts/sip/transport.py
@@ -18,6 +18,7 @@
 from ...settings import OTHER
 from ...core.model import Clock, Ending
 from ...net.accepting import AcceptingServer
+from ...net.refusals import queue_refusals, take_refusals
 from ...net.streams import (
     MESSAGE_MOST,
     WRITE_BUFFER_MOST,
@@ -143,6 +144,8 @@
         self.take: Callable[[Message, Hop], None] = lambda message, hop: None
         self.lost: Callable[[Connection, Ending], None] = lambda connection, ending: None
         self.dialled: Callable[[Address, Connection | Ending], None] = lambda address, result: None
+        self.refused: Callable[[set[Address]], None] = lambda addresses: None  # datagrams there
+        self._refusals: set[Address] = set()  # not told yet
         self._udp: socket.socket | None = None
         self._datagram = bytearray(MESSAGE_MOST + 1)
         self._local: dict[str, Address] = {}
@@ -168,6 +171,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        queue_refusals(sock)
         sock.bind(address)
         self._udp, self._local["udp"] = sock, sock.getsockname()
         self._datagrams_queued_most = sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) // DATAGRAM_LEAST
@@ -227,13 +231,33 @@
         try:
             if self._udp is None:
                 raise OSError("UDP is off")
-            self._udp.sendmsg(parts, [], 0, address)
+            self._send_past_errors(self._udp, parts, address)
         except BlockingIOError:
             pass  # as good as lost on the way: it is sent again
         except OSError as fault:
             log.info("datagram_not_sent", to="%s:%d" % address, fault=str(fault))
             self._fail(failed, Ending.CONNECTION_REFUSED)
 
+    def _send_past_errors(self, udp: socket.socket, parts: list[bytes], address: Address) -> None:
+        """Send; an error of an earlier datagram, which the system returns here, is kept to be told."""
+        try:
+            udp.sendmsg(parts, [], 0, address)
+            return
+        except BlockingIOError:
+            raise
+        except OSError:
+            self._refusals |= take_refusals(udp)
+        if self._refusals:  # not within the call that sends
+            self._loop.add_callback(self._tell_refusals)
+        udp.sendmsg(parts, [], 0, address)
+
+    def _tell_refusals(self) -> None:
+        if self._udp is not None:
+            self._refusals |= take_refusals(self._udp)
+        refused, self._refusals = self._refusals, set()
+        if refused:
+            self.refused(refused)
+
     def _send_anew(self, address: Address, parts: list[bytes], failed: Failed | None) -> None:
         known = self._out.get(address)
         if known is None or not known.write(parts):
@@ -414,6 +438,7 @@
 
     def _readable(self, fd: object, events: int) -> None:
         assert self._udp is not None
+        self._tell_refusals()  # first: who answers now is a later process at that address
         for _ in range(DATAGRAMS_AT_ONCE):
             try:
                 size, address = self._udp.recvfrom_into(self._datagram)
--- a/tests/test_standing_sip.py
+++ b/tests/test_standing_sip.py
@@ -8,6 +8,8 @@
 from test_crossings_sip import MS, FrontCase, ready, reset
 from test_sip import Peer
 
+from mallowquay.fronts.sip.transport import Hop
+
 
 class OverTcp(FrontCase):
     async def asyncSetUp(self) -> None:
@@ -61,3 +63,43 @@
                 dials += 1
         self.assertTrue(2 <= dials <= 10, dials)
         self.assertEqual(self.calls.pending, 1)
+
+
+class OverUdp(FrontCase):
+    async def test_calls_are_released_when_a_datagram_is_refused_there(self) -> None:
+        """Guards against calls that stand at a dead log server over UDP: its port refuses the next set-up."""
+        await self.stand("c", self.u0)
+        await self.stand_at_the_other("d")
+        self.u0.sock.close()
+        self.script.order[0] = "u0"
+        self.caller.write(self.message("INVITE", "e"))
+        bye = await self.next(self.caller, "BYE")
+        self.assertEqual((bye.get("call-id"), self.calls.pending), ("c", 2))
+        await self.until(lambda: self.heard(self.u1.sock))  # and the set-up goes on: nothing ran
+        self.assertEqual(self.begun["e"], 1)
+
+    async def stand_at_the_other(self, call: str) -> None:
+        self.script.order[0] = "u1"
+        await self.stand(call, self.u1)
+
+    async def test_a_refusal_fails_no_datagram_to_anybody_else(self) -> None:
+        """Guards against the error of one datagram being taken for that of the next one sent."""
+        dead, live, failed = self.u0.sock.getsockname(), self.u1.sock.getsockname(), []
+        self.u0.sock.close()
+        self.transport.send(Hop("udp", dead), [b"x"])
+        self.transport.send(Hop("udp", live), [b"y"], failed.append)
+        await self.turns()
+        self.assertEqual((failed, self.u1.sock.recv(1)), ([], b"y"))
+
+    async def test_a_set_up_that_may_have_run_waits_before_it_is_sent_again(self) -> None:
+        """Term: 300 ms after a reset before a resend: the first copy arrived, a later one was refused."""
+        self.caller.write(self.message("INVITE", "c"))
+        await self.until(lambda: self.heard(self.u0.sock))
+        self.u0.sock.close()
+        self.advance(500 * MS)  # its copy
+        await self.until(lambda: not self.calls.trying_at("u0"))
+        self.advance(299 * MS)
+        await self.turns()
+        self.assertEqual(self.heard(self.u1.sock), [])
+        self.advance(MS)
+        await self.until(lambda: self.heard(self.u1.sock))
