Consul: an instance that goes on failing its check is gone, and its calls are released

Callers saw: a log server whose check is critical takes nothing new, but the calls that stand there have no BYE however long it fails, where its wire does not show the death (a vanished machine, an idle log server over UDP).

Cause: a failing instance was listed as draining, as one under maintenance, and a draining log server keeps its calls.

Change: Catalogue holds what Consul answered and since when an instance fails. It drains at once, as before; after consul.failing_ms (3000) it is off the list and the roster cuts its calls. What time alone changes of the list is told while a query blocks. A check that flaps within that time cuts nothing.

--- a/mallowquay/membership/consul.py
+++ b/mallowquay/membership/consul.py
@@ -5,9 +5,9 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
 import structlog
@@ -15,12 +15,15 @@
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
 from ..settings import OTHER, ConsulConfig
-from ..core.model import ListTold, Server, ServerStatus
+from ..core.model import Clock, ListTold, Server, ServerStatus
 from ..errors import Fault
-from ..net.clock import UnixTime
+from ..net.clock import UnixTime, monotonic
+from .catalogue import Catalogue, Instances
 
 log = structlog.get_logger(part=__name__)
 
+Outcome = TypeVar("Outcome")
+
 CONNECT_WITHIN = timedelta(seconds=5)
 RETRY_LEAST, RETRY_MOST = timedelta(milliseconds=500), timedelta(seconds=15)
 BODY_MOST = 4 * 1024 * 1024
@@ -54,11 +57,15 @@
         unix: UnixTime,
         tell: Callable[[ListTold], None],
         chance: random.Random,
+        clock: Clock = monotonic,
     ) -> None:
         self._config, self._unix, self._tell, self._chance = config, unix, tell, chance
+        self._clock = clock
+        self._catalogue = Catalogue(config.failing)
         self._where = "{}:{}".format(*config.address)
         self._client = AsyncHTTPClient(force_instance=True, max_body_size=BODY_MOST, max_clients=1)
         self.index = 0
+        self._answered = False
         self._last: tuple[Server, ...] | None = None
 
     async def follow(self) -> None:
@@ -66,7 +73,7 @@
         gap = RETRY_LEAST
         while True:
             try:
-                self.apply(await self._query())
+                self.apply(await self._while_due(self._query()))
             except (ConsulFault, HTTPClientError, HTTPStreamClosedError, HTTPTimeoutError, OSError) as fault:
                 known = fault if isinstance(fault, ConsulFault) else ConsulSilent(str(fault), self._where)
                 log.warning("consul_fault", **known.told())
@@ -76,10 +83,28 @@
                 gap = RETRY_LEAST
                 continue
             self.index = 0  # the next query answers at once, whatever was missed
-            await asyncio.sleep(gap.total_seconds() * (0.5 + self._chance.random()))
+            pause = gap.total_seconds() * (0.5 + self._chance.random())
+            try:
+                await self._while_due(asyncio.sleep(pause))
+            except Exception as fault:  # what the program met; told again with the next answer
+                log.error("consul_fault", exc_info=fault, **ConsulSilent(repr(fault), self._where).told())
             gap = min(2 * gap, RETRY_MOST)
 
-    def _query(self) -> Any:
+    async def _while_due(self, awaited: Awaitable[Outcome]) -> Outcome:
+        """Await something, and meanwhile tell what time alone changes of the list."""
+        waiting = asyncio.ensure_future(awaited)
+        try:
+            while not waiting.done():
+                now = self._clock()
+                change = self._catalogue.next_change(now)
+                timeout = None if change is None else (change - now).total_seconds()
+                await asyncio.wait({waiting}, timeout=timeout)
+                self._tell_list()
+            return waiting.result()
+        finally:
+            waiting.cancel()
+
+    def _query(self) -> Awaitable[HTTPResponse]:
         config = self._config
         query = {"index": str(self.index), "wait": f"{config.wait // timedelta(milliseconds=1)}ms"}
         if config.datacenter:
@@ -103,16 +128,23 @@
         text = response.headers.get("X-Consul-Index", "")
         if not text.isascii() or not text.isdigit():
             raise ConsulFault(f"X-Consul-Index is no number: {text!r}", "X-Consul-Index")
-        servers = read_instances(response.body, self._unix)
+        instances = read_instances(response.body, self._unix)
         index = int(text)
-        if servers != self._last:
-            self._tell(ListTold(servers, whole=True))
-            self._last = servers  # only now: what was not taken whole is told again
+        self._catalogue.answered(instances, self._clock())
+        self._answered = True
+        self._tell_list()
         # An index that goes back means a restored catalogue: begin anew. One of 0 would never block.
         self.index = 0 if index < self.index else max(index, 1)
 
 
-def read_instances(body: bytes, unix: UnixTime) -> tuple[Server, ...]:
+    def _tell_list(self) -> None:
+        servers = self._catalogue.servers(self._clock())
+        if self._answered and servers != self._last:
+            self._tell(ListTold(servers, whole=True))
+            self._last = servers  # only now: what was not taken whole is told again
+
+
+def read_instances(body: bytes, unix: UnixTime) -> Instances:
     """The instances of an answer; ConsulFault names what cannot be read."""
     try:
         entries = json.loads(body)
@@ -121,14 +153,15 @@
     if not isinstance(entries, list):
         raise ConsulFault("the answer is not a list")
     try:
-        servers = [_instance(entry, unix) for entry in entries]
+        pairs = [(_instance(entry, unix), is_failing(entry.get("Checks") or [])) for entry in entries]
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as fault:
         raise ConsulFault(f"an instance cannot be read: {type(fault).__name__}: {fault}") from fault
     # Instances without a number of their own are numbered in the order of their ids.
-    servers.sort(key=lambda server: server.id)
+    servers = sorted((server for server, _ in pairs), key=lambda server: server.id)
     taken = {server.number for server in servers}
     free = (number for number in range(len(taken) + len(servers) + 1) if number not in taken)
-    return tuple(s if s.number >= 0 else _numbered(s, next(free)) for s in servers)
+    numbered = tuple(s if s.number >= 0 else _numbered(s, next(free)) for s in servers)
+    return Instances(numbered, frozenset(server.id for server, failing in pairs if failing))
 
 
 def _numbered(server: Server, number: int) -> Server:
@@ -152,9 +185,12 @@
     )
 
 
+def is_failing(checks: list[dict[str, Any]]) -> bool:
+    """Whether a check is critical; a warning still serves."""
+    return any(check.get("Status") == "critical" for check in checks)
+
+
 def status_of(checks: list[dict[str, Any]]) -> ServerStatus:
-    """Nothing new goes where a check is critical or maintenance is declared; a warning still serves."""
-    for check in checks:
-        if check.get("Status") == "critical" or str(check.get("CheckID", "")).startswith(MAINTENANCE):
-            return ServerStatus.DRAINING
-    return ServerStatus.READY
+    """Nothing new goes where a check is critical or maintenance is declared."""
+    maintained = any(str(check.get("CheckID", "")).startswith(MAINTENANCE) for check in checks)
+    return ServerStatus.DRAINING if maintained or is_failing(checks) else ServerStatus.READY
--- a/mallowquay/settings/model.py
+++ b/mallowquay/settings/model.py
@@ -80,6 +80,7 @@
     datacenter: str
     token: str
     wait: timedelta
+    failing: timedelta  # an instance that has failed its check for so long is gone
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowquay/settings/operator.py
+++ b/mallowquay/settings/operator.py
@@ -267,6 +267,7 @@
         datacenter=table.datacenter,
         token=token,
         wait=table.wait_ms * MILLISECOND,
+        failing=table.failing_ms * MILLISECOND,
     )
 
 
--- a/mallowquay/settings/schema.py
+++ b/mallowquay/settings/schema.py
@@ -94,6 +94,7 @@
     datacenter: str = ""
     token_file: str | None = None
     wait_ms: Count = 60_000
+    failing_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 3000  # a check that fails for so long: it is gone
 
 
 class Xds(Table, frozen=True):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -171,7 +171,7 @@
     def test_instances(self) -> None:
         other = instance("a", 1, number="0", transport="tcp", started_ms="5")
         body = json.dumps([instance("b", 2), other]).encode()
-        a, b = read_instances(body, UnixTime())
+        a, b = read_instances(body, UnixTime()).servers
         self.assertEqual((a.id, a.number, a.transport, a.address), ("n1/a", 0, "tcp", ("127.0.0.1", 1)))
         self.assertEqual((b.id, b.number, b.started), ("n1/b", 1, None))
         self.assertIsNotNone(a.started)
--- a/tests/test_crossings_feed.py
+++ b/tests/test_crossings_feed.py
@@ -253,7 +253,7 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         where = server.sockets[0].getsockname()
-        config = ConsulConfig(where, "log", "", "", timedelta(seconds=1))
+        config = ConsulConfig(where, "log", "", "", timedelta(seconds=1), timedelta(seconds=3))
         with patch("mallowquay.membership.consul.RETRY_LEAST", timedelta(milliseconds=10)):
             task = asyncio.ensure_future(Consul(config, UnixTime(), tell, random.Random(1)).follow())
             for _ in range(5):
