Second front: release calls at a log server that leaves requests unanswered for 7.6 s

Cause: as with a dead process nothing looked at standing calls. The platform's front goes by silence; a SIP log server is silent by right between answer and BYE, so silence alone says nothing there.

Change: INVITEs, BYEs and dials, which are sent anyway, are counted until anything comes from there. After 7.6 s the calls are cut: over TCP after one that was left unanswered, over UDP after four datagrams over 3.8 s at least. CANCEL does not count. The limit on silence is one of both fronts (roster.SILENCE_LIMIT).

--- a/mallowquay/fronts/platform/servers.py
+++ b/mallowquay/fronts/platform/servers.py
@@ -19,7 +19,7 @@
 from ...core.calls import Call, Calls, CallState
 from ...core.model import Attempt, Clock, Ending, Load, Server, ServerStatus
 from ...errors import Fault
-from ...membership.roster import Roster
+from ...membership.roster import SILENCE_LIMIT, Roster
 from ...net.streams import (
     LINGER,
     ConnectFailed,
@@ -42,9 +42,6 @@
 MILLISECOND = timedelta(milliseconds=1)
 LOOK_AGAIN = timedelta(milliseconds=500)  # a lost connection is tried anew
 SPREAD = 0.25  # of a pause before a redial, either way: a cut ends for many links and processes at once
-# What ended behind a link that says nothing, or that is gone, could not be told: it must be released within
-# 8 s of its end, known or not.
-SILENT_MOST = timedelta(milliseconds=7600)
 WATCH_EVERY = timedelta(milliseconds=50)
 # A line that has begun is whole at once: one that is not so by now has been cut off; nothing behind it can
 # be read.
@@ -398,7 +395,7 @@
         """Leave a connection that is of no further use, and release what cannot be told any more."""
         now = self.side.clock()
         self._drop_heard(now)
-        ending, silent = self._of_no_use(now), now - self.heard_at >= SILENT_MOST
+        ending, silent = self._of_no_use(now), now - self.heard_at >= SILENCE_LIMIT
         before, self._doubt = self._doubt, (ending, silent)
         if self.stream is not None and ending is not None and ending is before[0]:
             begun = bytes(memoryview(self.buffer.data)[self.buffer.start : self.buffer.end])
--- a/mallowquay/fronts/sip/liveness.py
+++ b/mallowquay/fronts/sip/liveness.py
@@ -1,7 +1,8 @@
-"""Whether the log servers at which calls stand still live, as far as connections to them show.
+"""Whether the log servers at which calls stand still live, as far as what is sent to them anyway shows.
 
 A standing call is bound to no connection, so a connection that closes ends no call. It is replaced: a log
-server that refuses the next one has no process any more, and has cut its calls.
+server that refuses the next one has no process any more, and has cut its calls. One that leaves requests
+without a word is silent: cut off, gone with its machine, or stopped. Of datagrams some may have been lost.
 """
 
 from __future__ import annotations
@@ -11,11 +12,13 @@
 from typing import NamedTuple
 
 from ...core.model import Attempt
+from ...membership.roster import SILENCE_LIMIT
 
 # A connection that closed sooner after it came up is replaced after a pause, each time twice as long.
 RESTED = timedelta(milliseconds=100)
 PAUSE_MIN, PAUSE_MAX = timedelta(milliseconds=100), timedelta(milliseconds=1600)
 DIAL_INTERVAL = timedelta(milliseconds=500)  # of dials that come to nothing
+UNANSWERED_DATAGRAMS_MIN = 4  # over half of the limit on silence at least
 
 
 class Endpoint(NamedTuple):
@@ -31,6 +34,9 @@
     connected_at: timedelta | None = None  # None: its connection is gone
     dial_at: timedelta | None = None
     pause: timedelta = PAUSE_MIN
+    unanswered: int = 0  # requests sent there since it was heard last
+    asked_first: timedelta = timedelta(0)  # the first and the last of them
+    asked_last: timedelta = timedelta(0)
 
 
 class Liveness:
@@ -87,3 +93,28 @@
             return False
         known.dial_at = now + DIAL_INTERVAL
         return True
+
+    def asked(self, endpoint: Endpoint, now: timedelta) -> None:
+        """A request, or a copy of one, has left for it; a dial that was not answered counts as one."""
+        known = self._endpoints.get(endpoint)
+        if known is not None:
+            known.asked_last = now
+            if not known.unanswered:
+                known.asked_first = now
+            known.unanswered += 1
+
+    def heard(self, endpoint: Endpoint) -> None:
+        """Something has come from it."""
+        known = self._endpoints.get(endpoint)
+        if known is not None:
+            known.unanswered = 0
+
+    def silent(self, endpoint: Endpoint, now: timedelta) -> bool:
+        """Whether it has left requests unanswered for as long as calls may stand unheard."""
+        known = self._endpoints.get(endpoint)
+        if known is None or not known.unanswered or now - known.asked_first < SILENCE_LIMIT:
+            return False
+        if endpoint.transport == "tcp":
+            return True
+        spread = known.asked_last - known.asked_first
+        return known.unanswered >= UNANSWERED_DATAGRAMS_MIN and spread >= SILENCE_LIMIT / 2
--- a/mallowquay/fronts/sip/servers.py
+++ b/mallowquay/fronts/sip/servers.py
@@ -218,6 +218,7 @@
         self._heard = clock() - HEARD_WITHIN  # what callers had sent by then is taken
         layer.on_stray_response = self._stray
         layer.transport.refused = self._datagrams_refused
+        layer.on_asked, layer.on_heard = self.standing.asked, self.standing.heard
 
     # --- the core's side
 
--- a/mallowquay/fronts/sip/transactions.py
+++ b/mallowquay/fronts/sip/transactions.py
@@ -246,6 +246,11 @@
         self.set("B", timers.whole, lambda: self._give_up(Ending.TIMED_OUT))
         if not self.hop.reliable:
             self._again(timers.t1)
+        self._send()
+
+    def _send(self) -> None:
+        if self.method != "CANCEL":  # there are those that know none
+            self.layer.on_asked(self.hop)
         self.layer.transport.send(self.hop, self.parts, self.transport_failed)
 
     def quiesce(self) -> None:
@@ -257,7 +262,7 @@
             if self.wanted is not None and not self.wanted():
                 return
             self.copies += 1
-            self.layer.transport.send(self.hop, self.parts, self.transport_failed)
+            self._send()
             most = 2 * gap if self.method == "INVITE" else min(2 * gap, self.layer.timers.t2)
             self._again(self.layer.timers.t2 if self.state is State.PROCEEDING else most)
 
@@ -369,6 +374,8 @@
         self.on_request: RequestUser = lambda transaction, request: None
         self.on_ack: StrayUser = lambda ack, hop: None  # the ACK of a 2xx
         self.on_stray_response: StrayUser = lambda response, hop: None
+        self.on_asked: Callable[[Hop], None] = lambda hop: None  # a request, or a copy of one, has left
+        self.on_heard: Callable[[Hop], None] = lambda hop: None  # a message has come
         self.stateless = 0  # requests that the table of server transactions had no room for
 
     def new_branch(self) -> str:
@@ -414,6 +421,7 @@
 
     def take(self, message: Message, hop: Hop) -> None:
         """One message from the transport."""
+        self.on_heard(hop)
         if message.status:
             self._response(message, hop)
         else:
@@ -423,6 +431,7 @@
         branch = parameter(message.get("Via"), "branch")
         transaction = self.clients.get((branch, message.cseq()[1]))
         if transaction is not None:
+            self.on_heard(transaction.hop)  # the answer may have come by another way
             transaction.received(message)
         elif 200 <= message.status < 300 and message.cseq()[1] == "INVITE":
             self.on_stray_response(message, hop)
--- a/mallowquay/fronts/sip/transport.py
+++ b/mallowquay/fronts/sip/transport.py
@@ -139,7 +139,7 @@
     def __init__(
         self, loop: IOLoop, connect_timeout: timedelta, connections_most: int, clock: Clock
     ) -> None:  # fmt: skip
-        self._loop, self._connect_timeout, self._most = loop, connect_timeout, connections_most
+        self._loop, self.connect_timeout, self._most = loop, connect_timeout, connections_most
         self.clock = clock
         self.take: Callable[[Message, Hop], None] = lambda message, hop: None
         self.lost: Callable[[Connection, Ending], None] = lambda connection, ending: None
@@ -288,7 +288,7 @@
     async def _connect(self, address: Address) -> None:
         result: Connection | Ending
         try:
-            stream = await open_stream(address, self._connect_timeout)
+            stream = await open_stream(address, self.connect_timeout)
             result = Connection(stream, address, outgoing=True, now=self.clock())
         except ConnectFailed as refused:
             result = refused.ending
--- a/mallowquay/membership/roster.py
+++ b/mallowquay/membership/roster.py
@@ -11,6 +11,10 @@
 
 log = structlog.get_logger(part=__name__)
 
+# What ended at a log server that says nothing, or that is gone, could not be told: it must be released within
+# 8 s of its end, known or not.
+SILENCE_LIMIT = timedelta(milliseconds=7600)
+
 
 class Roster:
     """Follows the server list; the side of each wire adds what its connections need."""
--- a/tests/test_standing_sip.py
+++ b/tests/test_standing_sip.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import socket
+import unittest
 from typing import Any
+from unittest import mock
 
-from test_crossings_sip import MS, FrontCase, ready, reset
+from test_crossings_sip import LOCAL, MS, FrontCase, ready, reset
 from test_sip import Peer
 
+from mallowquay.fronts.sip.liveness import Endpoint, Liveness
 from mallowquay.fronts.sip.transport import Hop
 
 
@@ -103,3 +106,51 @@
         self.assertEqual(self.heard(self.u1.sock), [])
         self.advance(MS)
         await self.until(lambda: self.heard(self.u1.sock))
+
+
+class Silent(FrontCase):
+    async def test_calls_at_a_log_server_that_answers_nothing_are_released(self) -> None:
+        """Guards against calls that stand on at a machine that vanished, over either transport."""
+        for transport, peer in (("udp", self.u0), ("tcp", Peer(socket.socket()))):
+            self.script.order[0] = "u0" if transport == "udp" else "t0"
+            await self.stand(f"stands-{transport}", peer)
+            self.caller.sock.setblocking(False)
+            for second in range(8):  # one set-up a second; its copies count where the transport loses
+                self.caller.write(self.message("INVITE", f"{transport}{second}"))
+                await self.turns()
+                self.advance(1000 * MS)
+                self.side.standing.look()
+                if second < 7:  # 7.6 s
+                    self.assertEqual(len(self.calls.standing()), 1, second)
+            await self.turns()
+            self.assertEqual(self.calls.standing(), [])
+            self.advance(10_000 * MS)
+
+
+class Silence(unittest.TestCase):
+    def silent_after(self, transport: str, *asked_at: int) -> bool:
+        """Whether an endpoint that was sent requests at these milliseconds is silent after 60 s."""
+        liveness, endpoint = Liveness(), Endpoint(transport, LOCAL)
+        liveness.stands(endpoint, mock.Mock(), 0 * MS)
+        for at in asked_at:
+            liveness.asked(endpoint, at * MS)
+        return liveness.silent(endpoint, 60_000 * MS)
+
+    def test_what_was_lost_or_came_at_once_is_no_silence(self) -> None:
+        """Guards against taking loss, or a moment's load, for a log server that is gone."""
+        self.assertFalse(self.silent_after("udp"))
+        self.assertFalse(self.silent_after("tcp"))
+        self.assertFalse(self.silent_after("udp", 0, 500, 7500))
+        self.assertFalse(self.silent_after("udp", *range(0, 3700, 100)))
+        self.assertTrue(self.silent_after("udp", 0, 500, 1500, 3800))
+        self.assertTrue(self.silent_after("tcp", 0))
+
+    def test_any_word_begins_it_anew(self) -> None:
+        """Guards against cutting calls at a log server that has spoken since."""
+        liveness, endpoint = Liveness(), Endpoint("tcp", LOCAL)
+        liveness.stands(endpoint, mock.Mock(), 0 * MS)
+        liveness.asked(endpoint, 0 * MS)
+        self.assertFalse(liveness.silent(endpoint, 7599 * MS))
+        self.assertTrue(liveness.silent(endpoint, 7600 * MS))
+        liveness.heard(endpoint)
+        self.assertFalse(liveness.silent(endpoint, 60_000 * MS))
