Consul: an answer without most of the list cuts no call until further answers confirm it

Cause: each answer was the whole list, and what the whole list lacks is gone.

Change: Catalogue doubts an answer that lacks more than half of the list until confirm_answers (3) in a row have said so over confirm_ms (3000). In doubt no call is cut; what a partial answer lacks drains, after an empty one all go on. Consul is asked again three times in confirm_ms. Logged as consul.doubted, counted as list_unconfirmed. An index that goes back no longer counts at once: it has the list asked for from 0. Whoever answers without waiting is asked five times a second at most.

Evidence: with every answer counting, 5 tests of test_catalogue.py fail, Emptied (the real program) among them; with an older index applied, Back fails; all pass with the change.

--- a/mallowquay/assembly/sip.py
+++ b/mallowquay/assembly/sip.py
@@ -8,9 +8,10 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from functools import partial
+from typing import Any
 
 from ..core.model import ListTold
 from ..fronts.sip.front import SipFront
@@ -33,6 +34,7 @@
 
     def __init__(self, heart: Heart, sip: SipConfig) -> None:
         self._heart, self._sip = heart, sip
+        self._consul: Consul | None = None  # the source of the list, unless the file is
         self._leaves: tuple[timedelta, timedelta] | None = None  # quiet since when, and stays until
 
     async def start(self) -> None:
@@ -59,7 +61,8 @@
         )  # fmt: skip
         self._told = partial(heart.told, side=servers.list_told)
         if settings.consul is not None:
-            transport.spawn(Consul(settings.consul, UnixTime(), self._told, chance).follow())
+            self._consul = Consul(settings.consul, UnixTime(), self._told, chance)
+            transport.spawn(self._consul.follow())
         else:
             self._told(ListTold(sip.servers, whole=True))
 
@@ -81,6 +84,10 @@
             self._told(ListTold(settings.sip.servers, whole=True))
         self.front.retune(settings.classes, settings.sip.default_class)
 
+    def figures(self) -> Mapping[str, Any]:
+        """What the source of the list adds."""
+        return {} if self._consul is None else self._consul.figures()
+
     def settled(self, quiet_since: timedelta) -> bool:
         """Callers have come for as long as they may, and what they are owed is written."""
         now = monotonic()
--- a/mallowquay/membership/consul.py
+++ b/mallowquay/membership/consul.py
@@ -24,8 +24,10 @@
 
 Outcome = TypeVar("Outcome")
 
+RETRY_LEAST = timedelta(milliseconds=500)
+QUERY_INTERVAL_MIN = timedelta(milliseconds=200)  # whoever answers without waiting is not asked in a loop
 CONNECT_WITHIN = timedelta(seconds=5)
-RETRY_LEAST, RETRY_MOST = timedelta(milliseconds=500), timedelta(seconds=15)
+RETRY_MOST = timedelta(seconds=15)
 BODY_MOST = 4 * 1024 * 1024
 WAIT_SLACK = 16  # Consul itself adds up to a sixteenth of the wait
 MAINTENANCE = ("_node_maintenance", "_service_maintenance:")
@@ -48,6 +50,16 @@
     )
 
 
+class ConsulDoubted(Fault):
+    """Consul's answer lacks most of the list: until further answers confirm it, no call is cut."""
+
+    code = "consul.doubted"
+    remedy = (
+        "See whether the service's instances were taken out on purpose: its name, its registrations, the "
+        "token's rights. What consul.confirm_ms and consul.confirm_answers ask for makes it count."
+    )
+
+
 class Consul:
     """Follows the instances of one service."""
 
@@ -61,18 +73,26 @@
     ) -> None:
         self._config, self._unix, self._tell, self._chance = config, unix, tell, chance
         self._clock = clock
-        self._catalogue = Catalogue(config.failing)
+        self._catalogue = Catalogue(config.rules)
         self._where = "{}:{}".format(*config.address)
         self._client = AsyncHTTPClient(force_instance=True, max_body_size=BODY_MOST, max_clients=1)
         self.index = 0
-        self._answered = False
+        self._asked_at = clock()
+        self._answered_at: timedelta | None = None
         self._last: tuple[Server, ...] | None = None
 
+    def figures(self) -> dict[str, Any]:
+        """What the second address reports."""
+        return {"list_unconfirmed": self._catalogue.unconfirmed}
+
     async def follow(self) -> None:
         """Ask, apply, and ask again from the index told; longer and longer gaps while it fails."""
         gap = RETRY_LEAST
         while True:
+            pause = QUERY_INTERVAL_MIN - (self._clock() - self._asked_at)
             try:
+                await self._while_due(asyncio.sleep(max(pause, timedelta(0)).total_seconds()))
+                self._asked_at = self._clock()
                 self.apply(await self._while_due(self._query()))
             except (ConsulFault, HTTPClientError, HTTPStreamClosedError, HTTPTimeoutError, OSError) as fault:
                 known = fault if isinstance(fault, ConsulFault) else ConsulSilent(str(fault), self._where)
@@ -81,15 +101,19 @@
                 log.error("consul_fault", exc_info=fault, **ConsulSilent(repr(fault), self._where).told())
             else:
                 gap = RETRY_LEAST
+                if self._catalogue.unconfirmed:
+                    await self._pause(self._config.rules.confirm / self._config.rules.confirm_answers)
                 continue
             self.index = 0  # the next query answers at once, whatever was missed
-            pause = gap.total_seconds() * (0.5 + self._chance.random())
-            try:
-                await self._while_due(asyncio.sleep(pause))
-            except Exception as fault:  # what the program met; told again with the next answer
-                log.error("consul_fault", exc_info=fault, **ConsulSilent(repr(fault), self._where).told())
+            await self._pause(gap * (0.5 + self._chance.random()))
             gap = min(2 * gap, RETRY_MOST)
 
+    async def _pause(self, span: timedelta) -> None:
+        try:
+            await self._while_due(asyncio.sleep(span.total_seconds()))
+        except Exception as fault:  # what the program met; told again with the next answer
+            log.error("consul_fault", exc_info=fault, **ConsulSilent(repr(fault), self._where).told())
+
     async def _while_due(self, awaited: Awaitable[Outcome]) -> Outcome:
         """Await something, and meanwhile tell what time alone changes of the list."""
         waiting = asyncio.ensure_future(awaited)
@@ -111,12 +135,12 @@
             query["dc"] = config.datacenter
         host, port = config.address
         path = f"/v1/health/service/{quote(config.service, safe='')}?{urlencode(query)}"
-        wait = config.wait + config.wait / WAIT_SLACK + CONNECT_WITHIN
+        timeout = config.wait + config.wait / WAIT_SLACK + CONNECT_WITHIN
         request = HTTPRequest(
             f"http://{host}:{port}{path}",
             headers={"X-Consul-Token": config.token} if config.token else None,
             connect_timeout=CONNECT_WITHIN.total_seconds(),
-            request_timeout=wait.total_seconds(),
+            request_timeout=timeout.total_seconds(),
             follow_redirects=False,
         )
         return self._client.fetch(request)
@@ -130,16 +154,24 @@
             raise ConsulFault(f"X-Consul-Index is no number: {text!r}", "X-Consul-Index")
         instances = read_instances(response.body, self._unix)
         index = int(text)
+        if index < self.index:
+            # A catalogue restored from a copy, or an answer that is out of date: the next one tells, from 0.
+            log.warning("consul_index_back", was=self.index, told=index)
+            self.index = 0
+            return
         self._catalogue.answered(instances, self._clock())
-        self._answered = True
+        self._answered_at = self._clock()
         self._tell_list()
-        # An index that goes back means a restored catalogue: begin anew. One of 0 would never block.
-        self.index = 0 if index < self.index else max(index, 1)
-
+        unconfirmed = self._catalogue.unconfirmed
+        if unconfirmed:
+            doubted = f"answer {unconfirmed} without most of the list; {len(instances.servers)} instances"
+            log.warning("consul_fault", **ConsulDoubted(doubted, self._where).told())
+        # What does not count yet is asked for anew. One of 0 would never block.
+        self.index = 0 if unconfirmed else max(index, 1)
 
     def _tell_list(self) -> None:
         servers = self._catalogue.servers(self._clock())
-        if self._answered and servers != self._last:
+        if self._answered_at is not None and servers != self._last:
             self._tell(ListTold(servers, whole=True))
             self._last = servers  # only now: what was not taken whole is told again
 
--- a/mallowquay/settings/__init__.py
+++ b/mallowquay/settings/__init__.py
@@ -11,6 +11,7 @@
     ClassConfig,
     ClosingConfig,
     Config,
+    CatalogueRules,
     ConsulConfig,
     CopiesConfig,
     EventsConfig,
@@ -30,7 +31,7 @@
 
 __all__ = [
     "MICROSECOND", "MILLISECOND", "OTHER", "SOCKETS_KEPT", "ClassConfig", "Config", "ConfigError",
-    "ClosingConfig", "ConsulConfig", "CopiesConfig", "EventsConfig", "FleetConfig",
+    "CatalogueRules", "ClosingConfig", "ConsulConfig", "CopiesConfig", "EventsConfig", "FleetConfig",
     "PlatformConfig", "SipConfig", "SiteConfig", "SitesConfig", "TakeoverConfig",
     "Terms", "TrafficConfig", "XdsConfig",
     "check_numbers", "check_reload", "common", "fixed_changes", "flatten", "load", "of_process",
--- a/mallowquay/settings/model.py
+++ b/mallowquay/settings/model.py
@@ -71,6 +71,15 @@
     servers: tuple[Server, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class CatalogueRules:
+    """When the catalogue's word counts."""
+
+    failing: timedelta  # an instance whose check has failed for so long is gone
+    confirm: timedelta  # most of the list is gone once answers have said so for so long
+    confirm_answers: int  # and so many of them
+
+
 @dataclass(frozen=True, slots=True)
 class ConsulConfig:
     """Consul as the source of the server list."""
@@ -80,7 +89,7 @@
     datacenter: str
     token: str
     wait: timedelta
-    failing: timedelta  # an instance that has failed its check for so long is gone
+    rules: CatalogueRules
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowquay/settings/operator.py
+++ b/mallowquay/settings/operator.py
@@ -16,6 +16,7 @@
 from . import schema, together
 from .common import common
 from .model import (
+    CatalogueRules,
     Config,
     ConsulConfig,
     CopiesConfig,
@@ -267,7 +268,11 @@
         datacenter=table.datacenter,
         token=token,
         wait=table.wait_ms * MILLISECOND,
-        failing=table.failing_ms * MILLISECOND,
+        rules=CatalogueRules(
+            failing=table.failing_ms * MILLISECOND,
+            confirm=table.confirm_ms * MILLISECOND,
+            confirm_answers=table.confirm_answers,
+        ),
     )
 
 
--- a/mallowquay/settings/schema.py
+++ b/mallowquay/settings/schema.py
@@ -95,6 +95,9 @@
     token_file: str | None = None
     wait_ms: Count = 60_000
     failing_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 3000  # a check that fails for so long: it is gone
+    # Answers without most of the list count after so long, and so many of them.
+    confirm_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 3000
+    confirm_answers: Annotated[int, Meta(ge=1, le=100)] = 3
 
 
 class Xds(Table, frozen=True):
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -4,6 +4,7 @@
 
 import os
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 
 from rigs.sip_peers import operators_file, sip_port
@@ -13,14 +14,15 @@
 
 from mallowquay.core.model import Server, ServerStatus
 from mallowquay.membership.catalogue import Catalogue, Instances
+from mallowquay.settings import CatalogueRules
 
 MS = timedelta(milliseconds=1)
-A, B = (Server(name, ("127.0.0.1", at), at, ServerStatus.READY) for at, name in ((1, "a"), (2, "b")))
+A, B, C = (Server(name, ("127.0.0.1", at), at, ServerStatus.READY) for at, name in enumerate("abc"))
 
 
 class Lists(unittest.TestCase):
     def setUp(self) -> None:
-        self.catalogue = Catalogue(failing_limit=3000 * MS)
+        self.catalogue = Catalogue(CatalogueRules(3000 * MS, 3000 * MS, 3))
 
     def test_an_instance_that_fails_for_long_is_gone_and_one_that_flaps_is_not(self) -> None:
         """Guards against calls that stand for ever at a failing instance, and against cutting sound ones."""
@@ -39,10 +41,54 @@
         self.assertIsNone(self.catalogue.next_change(gone_at + 2 * MS))
 
 
+    def drops(self, *told: Server, times: tuple[int, ...]) -> list[tuple[Server, ...]]:
+        """The list after each of the answers at these milliseconds; before them A, B and C were told."""
+        self.catalogue.answered(Instances((A, B, C)), 0 * MS)
+        lists = []
+        for at in times:
+            self.catalogue.answered(Instances(told), at * MS)
+            lists.append(self.catalogue.servers(at * MS))
+        return lists
+
+    def test_an_empty_answer_counts_only_once_it_is_confirmed(self) -> None:
+        """Guards against an empty list by mistake, which cut every call."""
+        lists = self.drops(times=(1000, 2000, 3999, 4000))
+        self.assertEqual(lists, [(A, B, C)] * 3 + [()])
+        self.assertEqual(self.catalogue.unconfirmed, 0)
+
+    def test_as_many_answers_as_are_asked_for_confirm_it(self) -> None:
+        """Guards against one late answer counting for all."""
+        self.assertEqual(self.drops(times=(1000, 9000, 9001)), [(A, B, C), (A, B, C), ()])
+
+    def test_without_most_of_the_list_the_missing_ones_drain_until_it_is_confirmed(self) -> None:
+        """Guards against a partial answer that cuts calls, and against new calls at what was taken out."""
+        drained = tuple(replace(server, status=ServerStatus.DRAINING) for server in (B, C))
+        self.assertEqual(self.drops(A, times=(1000, 2000, 4000)), [(A, *drained)] * 2 + [(A,)])
+
+    def test_one_of_two_that_is_missing_is_gone_at_once(self) -> None:
+        """Guards against doubting an ordinary removal."""
+        self.catalogue.answered(Instances((A, B)), 0 * MS)
+        self.catalogue.answered(Instances((A,)), MS)
+        self.assertEqual(self.catalogue.servers(MS), (A,))
+
+    def test_a_whole_answer_ends_the_doubt(self) -> None:
+        """Guards against adding up mistakes that lie apart."""
+        self.drops(times=(1000, 2000))
+        self.catalogue.answered(Instances((A, B, C)), 3000 * MS)
+        self.assertEqual((self.catalogue.unconfirmed, self.catalogue.servers(3000 * MS)), (0, (A, B, C)))
+        self.catalogue.answered(Instances(()), 60_000 * MS)
+        self.assertEqual(self.catalogue.servers(60_000 * MS), (A, B, C))
+
+    def test_an_empty_list_at_the_start_is_the_list(self) -> None:
+        """Guards against a service without instances that is never known."""
+        self.catalogue.answered(Instances(()), 0 * MS)
+        self.assertEqual((self.catalogue.unconfirmed, self.catalogue.servers(0 * MS)), (0, ()))
+
+
 class ConsulCase(SipBase):
     """A gatekeeper whose list is Consul's: one log server over UDP, `a`."""
 
-    table = "wait_ms = 60000\nfailing_ms = 300\n"
+    table = "wait_ms = 60000\nfailing_ms = 300\nconfirm_ms = 900\n"
 
     def setUp(self) -> None:
         self.port, self.server = sip_port(), udp(sip_port())
@@ -75,3 +121,26 @@
         self.assertTrue(self.udp.quiet(0.6, "BYE"))  # it flapped
         self.consul.tell([self.critical])
         self.assertIn("cause=41", self.udp.expect("BYE").get("reason"))
+
+
+class Emptied(ConsulCase):
+    def test_an_empty_answer_by_mistake_cuts_no_call_and_stops_no_set_up(self) -> None:
+        """Guards against an empty list by mistake: every call was cut at once, and every set-up refused."""
+        self.stand(self.udp, "c")
+        self.consul.tell([])
+        self.assertTrue(self.consul.wait_for(lambda: self.consul.queries[-1][1]["index"] == ["0"]))
+        self.stand(self.udp, "d")
+        self.consul.tell([self.passing])
+        self.assertTrue(self.udp.quiet(1.5, "BYE"))
+        self.consul.tell([])  # this time for good
+        self.assertEqual({self.udp.expect("BYE").get("call-id") for _ in range(2)}, {"c", "d"})
+
+
+class Back(ConsulCase):
+    def test_an_answer_of_an_older_index_counts_only_when_it_is_told_again(self) -> None:
+        """Guards against an answer that is out of date: the next one, asked from 0, counts."""
+        self.consul.tell([self.critical], index=5)
+        self.assertTrue(self.consul.wait_for(lambda: self.consul.queries[-1][1]["index"] == ["0"]))
+        self.assertTrue(self.consul.wait_for(lambda: self.consul.queries[-1][1]["index"] == ["5"]))
+        self.request(self.udp, "INVITE", "c")
+        self.udp.expect("SIP/2.0 503")
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -33,6 +33,8 @@
         super().__init__(("127.0.0.1", 0), ConsulHandler)
         self.changed = threading.Condition()
         self.index, self.instances, self.failing = 10, [], 0
+        self.ended = threading.Event()
+        self.silenced = 0  # queries up to this number are never answered
         self.queries: list[tuple[str, dict[str, list[str]], str | None]] = []
         threading.Thread(target=self.serve_forever, args=(0.02,), daemon=True).start()
 
@@ -41,6 +43,11 @@
             self.instances, self.index = instances, self.index + 1 if index is None else index
             self.changed.notify_all()
 
+    def fall_silent(self) -> None:
+        """The queries that are open are never answered; new ones are."""
+        with self.changed:
+            self.silenced = len(self.queries)
+
     def wait_for(self, what: Callable[[], bool]) -> bool:
         with self.changed:
             return self.changed.wait_for(what, WAIT)
@@ -56,15 +63,22 @@
         known = int(query["index"][0])
         with self.server.changed:
             self.server.queries.append((url.path, query, self.headers.get("X-Consul-Token")))
+            number = len(self.server.queries)
             self.server.changed.notify_all()
             if self.server.failing:
                 self.server.failing -= 1
                 self.answer(500, b"no cluster leader")
                 return
-            self.server.changed.wait_for(lambda: known == 0 or self.server.index != known, WAIT)
+            wait = int(query["wait"][0].removesuffix("ms")) / 1000
+            self.server.changed.wait_for(lambda: known == 0 or self.server.index != known, wait)
+            silent = number <= self.server.silenced
             body = json.dumps(self.server.instances).encode()
             index = self.server.index
-        self.answer(200, body, index)
+        if silent:
+            self.server.ended.wait()
+            self.close_connection = True
+        else:
+            self.answer(200, body, index)
 
     def answer(self, status: int, body: bytes, index: int = 0) -> None:
         self.send_response(status)
--- a/tests/test_crossings_feed.py
+++ b/tests/test_crossings_feed.py
@@ -29,8 +29,9 @@
 from mallowquay.membership.consul import Consul
 from mallowquay.membership.coordinator import FRAME, RECORD, Coordinator, read_known
 from mallowquay.net.clock import UnixTime
-from mallowquay.settings import ConfigError, ConsulConfig, common, load, platform_config
+from mallowquay.settings import CatalogueRules, ConfigError, ConsulConfig, common, load, platform_config
 
+SECOND = timedelta(seconds=1)
 EMPTY = FRAME.pack(9, 0, 0)
 FOLLOWED_WITHIN = timedelta(seconds=4)  # of the 7 s after which an event counts as told
 Say = Callable[[asyncio.StreamWriter], object]
@@ -253,7 +254,8 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         where = server.sockets[0].getsockname()
-        config = ConsulConfig(where, "log", "", "", timedelta(seconds=1), timedelta(seconds=3))
+        rules = CatalogueRules(failing=3 * SECOND, confirm=3 * SECOND, confirm_answers=3)
+        config = ConsulConfig(where, "log", "", "", 1 * SECOND, rules)
         with patch("mallowquay.membership.consul.RETRY_LEAST", timedelta(milliseconds=10)):
             task = asyncio.ensure_future(Consul(config, UnixTime(), tell, random.Random(1)).follow())
             for _ in range(5):
