Consul: the list is asked for anew before it is older than age_ms, so a silent watch is noticed

Cause: a blocking query may say nothing for as long as it asks for, 60 s by default, and its limit was that and 8.75 s. Pauses after a fault grew to 22 s.

Change: consul.age_ms (5000) bounds the age of the list. A query asks for the longest wait that leaves room for Consul's own sixteenth and a second for the answer; wait_ms may only shorten it. Pauses after a fault grow to age_ms at most. list_age_ms on the second address tells the age. Where nothing changes Consul is asked once in 3.76 s a member. The stand-in keeps to the wait that it is asked for; the plays of transcripts leave a query open and set an age beyond their length.

Evidence: Silenced (the real program) fails with the wait as before and passes with the change.

--- a/mallowquay/assembly/sip.py
+++ b/mallowquay/assembly/sip.py
@@ -85,7 +85,7 @@
         self.front.retune(settings.classes, settings.sip.default_class)
 
     def figures(self) -> Mapping[str, Any]:
-        """What the source of the list adds."""
+        """How old the list is, where Consul tells it."""
         return {} if self._consul is None else self._consul.figures()
 
     def settled(self, quiet_since: timedelta) -> bool:
--- a/mallowquay/membership/consul.py
+++ b/mallowquay/membership/consul.py
@@ -26,8 +26,7 @@
 
 RETRY_LEAST = timedelta(milliseconds=500)
 QUERY_INTERVAL_MIN = timedelta(milliseconds=200)  # whoever answers without waiting is not asked in a loop
-CONNECT_WITHIN = timedelta(seconds=5)
-RETRY_MOST = timedelta(seconds=15)
+ANSWER_TIMEOUT = timedelta(seconds=1)  # beyond the wait that a query asks for
 BODY_MOST = 4 * 1024 * 1024
 WAIT_SLACK = 16  # Consul itself adds up to a sixteenth of the wait
 MAINTENANCE = ("_node_maintenance", "_service_maintenance:")
@@ -82,8 +81,10 @@
         self._last: tuple[Server, ...] | None = None
 
     def figures(self) -> dict[str, Any]:
-        """What the second address reports."""
-        return {"list_unconfirmed": self._catalogue.unconfirmed}
+        """What the second address reports; the age is in milliseconds, None before the first answer."""
+        answered = self._answered_at
+        age = None if answered is None else (self._clock() - answered) // timedelta(milliseconds=1)
+        return {"list_age_ms": age, "list_unconfirmed": self._catalogue.unconfirmed}
 
     async def follow(self) -> None:
         """Ask, apply, and ask again from the index told; longer and longer gaps while it fails."""
@@ -106,11 +107,11 @@
                 continue
             self.index = 0  # the next query answers at once, whatever was missed
             await self._pause(gap * (0.5 + self._chance.random()))
-            gap = min(2 * gap, RETRY_MOST)
+            gap = min(2 * gap, self._config.age)
 
     async def _pause(self, span: timedelta) -> None:
         try:
-            await self._while_due(asyncio.sleep(span.total_seconds()))
+            await self._while_due(asyncio.sleep(min(span, self._config.age).total_seconds()))
         except Exception as fault:  # what the program met; told again with the next answer
             log.error("consul_fault", exc_info=fault, **ConsulSilent(repr(fault), self._where).told())
 
@@ -130,16 +131,17 @@
 
     def _query(self) -> Awaitable[HTTPResponse]:
         config = self._config
-        query = {"index": str(self.index), "wait": f"{config.wait // timedelta(milliseconds=1)}ms"}
+        wait = min(config.wait, (config.age - ANSWER_TIMEOUT) * WAIT_SLACK / (WAIT_SLACK + 1))
+        query = {"index": str(self.index), "wait": f"{wait // timedelta(milliseconds=1)}ms"}
         if config.datacenter:
             query["dc"] = config.datacenter
         host, port = config.address
         path = f"/v1/health/service/{quote(config.service, safe='')}?{urlencode(query)}"
-        timeout = config.wait + config.wait / WAIT_SLACK + CONNECT_WITHIN
+        timeout = wait + wait / WAIT_SLACK + ANSWER_TIMEOUT
         request = HTTPRequest(
             f"http://{host}:{port}{path}",
             headers={"X-Consul-Token": config.token} if config.token else None,
-            connect_timeout=CONNECT_WITHIN.total_seconds(),
+            connect_timeout=ANSWER_TIMEOUT.total_seconds(),
             request_timeout=timeout.total_seconds(),
             follow_redirects=False,
         )
--- a/mallowquay/settings/model.py
+++ b/mallowquay/settings/model.py
@@ -90,6 +90,7 @@
     token: str
     wait: timedelta
     rules: CatalogueRules
+    age: timedelta  # the list is asked for anew before it is older
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowquay/settings/operator.py
+++ b/mallowquay/settings/operator.py
@@ -273,6 +273,7 @@
             confirm=table.confirm_ms * MILLISECOND,
             confirm_answers=table.confirm_answers,
         ),
+        age=table.age_ms * MILLISECOND,
     )
 
 
--- a/mallowquay/settings/schema.py
+++ b/mallowquay/settings/schema.py
@@ -94,6 +94,7 @@
     datacenter: str = ""
     token_file: str | None = None
     wait_ms: Count = 60_000
+    age_ms: Annotated[int, Meta(ge=2000, le=3_600_000)] = 5000  # asked for anew before the list is older
     failing_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 3000  # a check that fails for so long: it is gone
     # Answers without most of the list count after so long, and so many of them.
     confirm_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 3000
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -88,7 +88,7 @@
 class ConsulCase(SipBase):
     """A gatekeeper whose list is Consul's: one log server over UDP, `a`."""
 
-    table = "wait_ms = 60000\nfailing_ms = 300\nconfirm_ms = 900\n"
+    table = "wait_ms = 60000\nage_ms = 2000\nfailing_ms = 300\nconfirm_ms = 900\n"
 
     def setUp(self) -> None:
         self.port, self.server = sip_port(), udp(sip_port())
@@ -136,6 +136,17 @@
         self.assertEqual({self.udp.expect("BYE").get("call-id") for _ in range(2)}, {"c", "d"})
 
 
+class Silenced(ConsulCase):
+    def test_a_query_that_is_never_answered_is_asked_anew(self) -> None:
+        """Guards against a watch that falls silent: a failing log server had set-ups meanwhile."""
+        self.consul.fall_silent()
+        self.consul.tell([self.critical])
+        self.assertTrue(self.consul.wait_for(lambda: len(self.consul.queries) > self.consul.silenced))
+        self.assertTrue(self.consul.wait_for(lambda: self.consul.queries[-1][1]["index"] == ["12"]))
+        self.request(self.udp, "INVITE", "c")
+        self.udp.expect("SIP/2.0 503")
+
+
 class Back(ConsulCase):
     def test_an_answer_of_an_older_index_counts_only_when_it_is_told_again(self) -> None:
         """Guards against an answer that is out of date: the next one, asked from 0, counts."""
--- a/tests/test_transcripts.py
+++ b/tests/test_transcripts.py
@@ -544,6 +544,7 @@
         self.xds = free_port()
         self.options |= {"listed": False, "extra": (
             f'[consul]\naddress = "127.0.0.1:{self.catalogue.getsockname()[1]}"\nservice = "log-server"\n'
+            "age_ms = 600000\n"  # a query that the play leaves open is not asked anew
             f'[xds]\nlisten = "127.0.0.1:{self.xds}"\n')}  # fmt: skip
         super().begin()
 
