make catalogue-endurance: faults of Consul under calls that stand, by real processes

Change: two gatekeepers follow the stand-in, 30 calls stand at each, further ones are set up throughout; list emptied for 2 s and for good, watch silent, catalogue down and back, flapping five times a second. The stand-in for Consul moved to rigs/consul.py, shared with the tests. The short form is in the suite.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON = $(VENV)/bin/python
 CHECKED = quincestand mallowquay tests benchmarks rigs
 
-.PHONY: two-builds platform-endurance together-endurance book-endurance site-endurance closings-endurance build dev lint test endurance dimension-check xds-endurance fleet-endurance fleet-size copies-endurance copies-cost fleet-test site-variants run
+.PHONY: two-builds platform-endurance together-endurance book-endurance site-endurance closings-endurance build dev lint test endurance dimension-check xds-endurance fleet-endurance fleet-size copies-endurance copies-cost fleet-test site-variants run catalogue-endurance
 
 build:
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -44,6 +44,10 @@
 xds-endurance:
 	PYTHONPATH=. $(PYTHON) benchmarks/xds_endurance.py $(if $(SHORT),--short)
 
+# Consul: empty lists, silent watches, outages and flaps under calls that stand: five minutes, SHORT=1 11 s.
+catalogue-endurance:
+	PYTHONPATH=. $(PYTHON) benchmarks/catalogue_endurance.py $(if $(SHORT),--short)
+
 # A fleet of processes under faults, and the same in virtual time: twenty minutes on 8 cores, SHORT=1 under 50 s.
 SEED ?= 1
 fleet-endurance:
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -7,9 +7,9 @@
 from dataclasses import replace
 from datetime import timedelta
 
+from rigs.consul import StandInConsul, instance
 from rigs.sip_peers import operators_file, sip_port
 from support import Process
-from test_control import StandInConsul, instance
 from test_sip import SipBase, udp
 
 from mallowquay.core.model import Server, ServerStatus
--- a/tests/test_fleet_endurance.py
+++ b/tests/test_fleet_endurance.py
@@ -27,6 +27,11 @@
     assert line["processes"][0]["calls"]["served"] > 100
 
 
+def test_the_catalogues_short_form_ends_without_a_violation() -> None:
+    line = short_form("catalogue_endurance")
+    assert len(line["scenarios"]) == 5
+
+
 def test_the_copies_short_form_ends_without_a_violation() -> None:
     line = short_form("copies_endurance")
     assert line["worlds"] == 60 and line["promises"] > 1000 and line["granted"] > 100
--- a/tests/test_transcripts.py
+++ b/tests/test_transcripts.py
@@ -18,7 +18,6 @@
 from google.rpc.status_pb2 import Status
 from support import SETTINGS, Caller, LogServer, free_port
 from syrupy.extensions.single_file import SingleFileSnapshotExtension, WriteMode
-from test_control import instance
 from test_operation import control_call
 from test_sip import Peer, SipBase
 from xds_proxies import CLUSTER, Service
@@ -30,6 +29,7 @@
 from rigs.fleet.machines import FILE as MACHINE
 from rigs.fleet.machines import Machine
 from rigs.process import quiet_port
+from rigs.consul import instance
 from rigs.sip_peers import encode, operators_file
 from rigs.transcripts.play import GATEKEEPER, Fleet, Members, Plays, Stage, until
 from rigs.transcripts.wire import ASKED, DATAGRAM, HTTP, LINES, SIP, TOLD
