Second front: an answer that is no text counts as unreadable, and bytes pass as they came

Change: one rule on both fronts: UTF-8, unchanged, or spoilt. A set-up with a spoilt head is refused with 400, with a spoilt description with 488 as before. Header bytes that an answer repeats come out as they went in.

--- a/mallowquay/fronts/sip/front.py
+++ b/mallowquay/fronts/sip/front.py
@@ -19,6 +19,7 @@
     BadMessage,
     Header,
     Message,
+    Part,
     q850_cause,
     read_path,
     user_of,
@@ -267,6 +268,10 @@
         transaction.respond(503, [BUSY_RETRY], to_tag=tag)
 
     def _to_request(self, key: LegKey, invite: Message) -> Request:
+        part = invite.spoilt()
+        if part is not None:
+            status = 488 if part is Part.BODY else 400
+            raise BadMessage(status, f"the {part.value} is not UTF-8", invite)
         kind = self._classes.get(invite.get("P-Kind") or self._config.default_class)
         if kind is None:
             raise BadMessage(400, "P-Kind names no class", invite)
@@ -275,10 +280,7 @@
             raise BadMessage(416 if not invite.uri.lower().startswith("sip") else 400, "no number", invite)
         if not hop_of(of_request(invite, "").target, transport_of(invite)):
             raise BadMessage(400, "Contact names no address", invite)
-        try:
-            description = bytes(invite.body).decode()
-        except UnicodeDecodeError as fault:
-            raise BadMessage(488, "the description is not UTF-8", invite) from fault
+        description = bytes(invite.body).decode()
         expires = invite.number("Expires")
         budget = kind.deadline if expires is None else min(expires * SECOND, EXPIRES_MOST)
         return Request(
--- a/mallowquay/fronts/sip/message.py
+++ b/mallowquay/fronts/sip/message.py
@@ -4,12 +4,15 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from enum import Enum
 
 from ...errors import Fault
 from ...net.streams import MESSAGE_MOST
 
 SIP_VERSION = b"SIP/2.0"
 HEADERS_MOST = 128
+# What is not UTF-8 stays as it came: decoded and encoded this way, the bytes are the same (PEP 383).
+NOT_TEXT = "surrogateescape"
 
 COMPACT = {
     b"i": b"call-id",
@@ -66,6 +69,13 @@
         self.status, self.message = status, message
 
 
+class Part(Enum):
+    """The two parts of a message."""
+
+    HEAD = "head"
+    BODY = "body"
+
+
 @dataclass(slots=True)
 class Message:
     """A parsed message. Its values lie in the buffer: take what is kept before the buffer moves on."""
@@ -77,6 +87,7 @@
     status: int = 0  # of a response
     reason: str = ""
     fields: list[tuple[bytes, int, int]] = field(default_factory=list)  # name, start and end of the value
+    head_start: int = 0
     body_start: int = 0
     body_end: int = 0
 
@@ -107,6 +118,18 @@
         """The description, still in the buffer."""
         return self.view[self.body_start : self.body_end]
 
+    def spoilt(self) -> Part | None:
+        """The first part that is not UTF-8, as all of a message is to be (RFC 3261, section 7)."""
+        for part, start, end in (
+            (Part.HEAD, self.head_start, self.body_start),
+            (Part.BODY, self.body_start, self.body_end),
+        ):
+            try:
+                bytes(self.view[start:end]).decode()
+            except UnicodeDecodeError:
+                return part
+        return None
+
     def cseq(self) -> tuple[int, str]:
         """Number and method of CSeq."""
         parts = self.get("CSeq").split()
@@ -115,7 +138,7 @@
         return int(parts[0]), parts[1]
 
     def _text(self, start: int, end: int) -> str:
-        text = bytes(self.view[start:end]).decode("utf-8", "replace")
+        text = bytes(self.view[start:end]).decode("utf-8", NOT_TEXT)
         return " ".join(text.split()) if "\r" in text or "\n" in text else text
 
 
@@ -133,7 +156,7 @@
         return None, start
     view = memoryview(buffer)
     line_end = buffer.find(b"\r\n", start, head_end + 2)
-    message = Message(view)
+    message = Message(view, head_start=start)
     _first_line(message, bytes(view[start:line_end]))
     _headers(message, buffer, line_end + 2, head_end + 2)
     body = head_end + 4
@@ -156,14 +179,14 @@
         if not parts[1].isdigit() or len(parts[1]) != 3:
             raise BadMessage(0, "the status is not three digits")
         message.version, message.status = parts[0], int(parts[1])
-        message.reason = parts[2].decode("utf-8", "replace")
+        message.reason = parts[2].decode("utf-8", NOT_TEXT)
         if not 100 <= message.status < 700:
             raise BadMessage(0, "the status is out of range")
         return
     if not parts[0] or not TOKEN.issuperset(parts[0]) or not parts[2].startswith(b"SIP/"):
         raise BadMessage(0, "the first line is not SIP")
     message.method = parts[0].decode()
-    message.uri = parts[1].decode("utf-8", "replace")
+    message.uri = parts[1].decode("utf-8", NOT_TEXT)
     message.version = parts[2]
 
 
@@ -224,12 +247,12 @@
     method: str, uri: str, headers: Iterable[Header], extra: Iterable[Header] = (), body: bytes = b""
 ) -> list[bytes]:
     """A request as parts."""
-    return [f"{method} {uri} SIP/2.0\r\n".encode(), *_header_parts(headers, extra, body)]
+    return [f"{method} {uri} SIP/2.0\r\n".encode("utf-8", NOT_TEXT), *_header_parts(headers, extra, body)]
 
 
 def _header_parts(first: Iterable[Header], second: Iterable[Header], body: bytes) -> Iterator[bytes]:
     lines = [f"{name}: {value}\r\n" for headers in (first, second) for name, value in headers]
-    yield "".join(lines).encode()
+    yield "".join(lines).encode("utf-8", NOT_TEXT)
     yield b"Content-Length: %d\r\n\r\n" % len(body)
     if body:
         yield body
--- a/mallowquay/fronts/sip/servers.py
+++ b/mallowquay/fronts/sip/servers.py
@@ -149,7 +149,8 @@
         elif response.status < 300:
             self.accepted(response)
         elif not self.withdrawn:
-            ending = ENDINGS.get(response.status, Ending.FAULT)
+            spoilt = self._spoilt(response)
+            ending = Ending.UNREADABLE if spoilt else ENDINGS.get(response.status, Ending.FAULT)
             self.side.calls.ended(self.attempt, ending, read_load(response.get("P-Load")))
 
     def unanswered(self, transaction: ClientTransaction, ending: Ending) -> None:
@@ -177,14 +178,27 @@
             self.dialog = dialog
             self.side.layer.transport.hold(self, self.hop)  # its end may come by this connection
             self.side.standing.stands(self.hop, self.attempt)
-            description = bytes(response.body).decode("utf-8", "replace")
-            if self.side.calls.stood(self.attempt, description, read_load(response.get("P-Load"))):
+            if self._spoilt(response):  # never passed on as good
+                self.side.calls.ended(self.attempt, Ending.UNREADABLE)
+            elif self.side.calls.stood(
+                self.attempt, bytes(response.body).decode(), read_load(response.get("P-Load"))
+            ):
                 return
             self.dialog = None
             self._leave()
         self.side.bye(dialog, hop, NORMAL_CLEARING)
         self.side.forget_later([dialog.id])
 
+    def _spoilt(self, response: Message) -> bool:
+        """Whether a final response cannot be read; such a one is counted and logged."""
+        part = response.spoilt()
+        if part is None:
+            return False
+        self.side.layer.transport.garbage += 1
+        fault = BadMessage(0, f"the {part.value} is not UTF-8", response)
+        log.warning("server_unreadable", server=self.attempt.server, **fault.told())
+        return True
+
     def _leave(self) -> None:
         self.side.layer.transport.hold(self)
         self.side.standing.over(self.hop, self.attempt)
