--- a/benchmarks/small_days.py
+++ b/benchmarks/small_days.py
@@ -7,7 +7,7 @@
 
 A play that stands in FOLDER is not played again. Needs the kit beside the repository (exit code 2 without).
 Beside other runs of the kit, name cores that those do not use: processes that share a core with them may
-starve ('did not wait for anything in 20 s', with hardly any processor time used).
+starve, and a day that starved is void.
 """
 
 from __future__ import annotations
--- a/mallowquay/fronts/platform/servers.py
+++ b/mallowquay/fronts/platform/servers.py
@@ -152,8 +152,8 @@
         self.rhythm = Rhythm()  # of free lines: a connection that misses them is of no further use
         self.owed: dict[str, Release] = {}  # by call, the oldest first
         self._withdrawals_heard = False  # on this connection, withdrawals are acknowledged
-        # What the last look found: this process may have stood still, with all unread. Acted on if the next
-        # look finds the same.
+        # What the last look found: this process may have been stopped (SIGSTOP, no core), with all unread.
+        # Acted on if the next look finds the same.
         self._doubt: tuple[Ending | None, bool] = (None, False)
         self.buffer = MessageBuffer(0)  # what has come and is not taken
         self._asked = ""  # the id of the test that is out: one at a time
--- a/mallowquay/net/clock.py
+++ b/mallowquay/net/clock.py
@@ -65,7 +65,7 @@
         return self._held
 
 
-# A timer that is late by this much says that this process stood still, or had much to do.
+# A timer that is late by this much says that this process was stopped (SIGSTOP, no core), or had much to do.
 LATE = timedelta(milliseconds=20)
 
 
--- a/mallowquay/net/streams.py
+++ b/mallowquay/net/streams.py
@@ -80,7 +80,8 @@
     """Write all parts with one system call where the stream is idle; False if it is closed.
 
     IOStream has no gathered write of its own: sendmsg takes the parts as they are, and only what the
-    socket does not take at once goes through the stream's own buffer.
+    socket does not take at once goes through the stream's own buffer. A write that fails leaves the stream
+    to its reader, so that what came before the failure is still read; IOStream's own would close it.
     """
     if stream.closed():
         return False
--- a/rigs/together/checkers.py
+++ b/rigs/together/checkers.py
@@ -37,7 +37,7 @@
     of_best_first: float = 0.90
     after_word_us: int = 3_000_000
     spans_least: int = 4_000_000  # a shorter span says little: what is at its ends weighs too much
-    busy: float = 0.03  # of a span, for which the rig itself stood still: its log servers answered late, too
+    busy: float = 0.03  # of a span, for which the rig itself stopped: its log servers answered late, too
     inside: float = 0.9  # of what a cut-off side's own log servers could have done for its callers
     spread: float = 0.5  # the refused of one second must not all be told to come back within this part of it
 
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -198,6 +198,17 @@
     assert judge(events)[checker]
 
 
+@pytest.mark.parametrize("spoil", [wrong_ones, wasted], ids=lambda one: one.__name__)
+def test_a_span_in_which_the_rig_itself_stopped_is_not_judged_and_any_other_is(spoil: Spoil) -> None:
+    """The log servers are the rig's: they answer late while it is stopped, whoever is tested."""
+    for share, judged in ((0.02, True), (0.04, False)):
+        events = deepcopy(WELL["site_killed"])
+        spoil(events)
+        events.append(Event(LOSS + SECOND, "lag", "", {"us": int(share * (END - LOSS))}))
+        found = judge(events)
+        assert bool(found["worthiest_first"] or found["near_the_best"]) is judged
+
+
 def test_every_checker_has_a_history_that_it_fails() -> None:
     assert set(judge([])) == {checker for checker, _, _ in SPOILT}
 
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from datetime import timedelta
 from types import SimpleNamespace
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 import pytest
 from hypothesis import given
@@ -21,7 +21,7 @@
 from mallowquay.fleet.model import NOBODY, Key, Standing, State, View
 from mallowquay.sites import parts
 from mallowquay.sites.evidence import Evidence, Sight
-from mallowquay.sites.machine import SitesMachine
+from mallowquay.sites.machine import TICK, SitesMachine
 from mallowquay.sites.model import (
     MILLISECOND,
     SECOND,
@@ -107,6 +107,18 @@
     assert sight.patience(TERMS.doubt) > 600 * MILLISECOND and sight.slow(TERMS.doubt)
 
 
+def test_a_tick_after_a_stop_of_this_process_forgives_what_was_owed_meanwhile_and_no_other_does() -> None:
+    """Guards against a site that is doubted because this process was stopped (SIGSTOP, no core)."""
+    machine = SitesMachine("a1", TERMS, DISTRICTS, random.Random(1), START)
+    forgiven: list[timedelta] = []
+    with patch.object(Evidence, "forgive", lambda evidence, span: forgiven.append(span)):
+        now = START
+        for span in (TICK, TICK, 200 * MILLISECOND, TICK, SECOND, TICK):
+            now += span
+            machine.tick(now)
+    assert forgiven == [SECOND]
+
+
 @pytest.mark.parametrize(
     ("voices", "down", "status", "expected"),
     [
