Rig: what is read in the moment after the rig stood still may have come meanwhile

The checker's blur counted a standstill only if its look came after the attempt's stamp, whichever of the two the loop ran first.

Change: the blur looks back by CATCH_UP from the stamp, as the limits on processes that stood still do.

Evidence: a test of the checker on both sides (a standstill 30 ms before counts, one 130 ms before or one of 5 ms does not) fails before.

--- a/rigs/platform/checker.py
+++ b/rigs/platform/checker.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from .history import History, Seen
+from .history import CATCH_UP, History, Seen
 
 GONE_MOST = 0.1  # after its caller's end an attempt may begin for so long
 TOLD_AT_LAST = 7.0  # what the coordinator has to tell counts as told by then
@@ -214,7 +214,8 @@
             ended = next((seen for seen in whole[whole.index(last) + 1 :]
                           if seen.server == last.server and seen.what in ENDS), None)  # fmt: skip
             wait = self.history.rules.release_wait
-            blur = 0.05 + self.history.lateness(last.at, new.at + wait)
+            # What came while the rig stood still is read, and stamped, in the moment after.
+            blur = 0.05 + self.history.lateness(last.at - CATCH_UP, new.at + wait)
             if ended is None or new.at + blur < ended.at or (
                 ended.what in ("up", "down_out") and new.at < ended.at
             ):  # fmt: skip
--- a/tests/test_crossings_platform.py
+++ b/tests/test_crossings_platform.py
@@ -168,6 +168,15 @@
         self.assertEqual(found([*once, Seen(3.3, "stopped", "p"), Seen(3.7, "continued", "p")]), [])
 
 
+    def test_what_the_rig_read_in_the_moment_after_it_stood_still_came_meanwhile(self) -> None:
+        """Guards against blaming a process for stamps that are late by the rig's own standstill."""
+        soon = moved(moved(moved(kept(), "x", "new", 1.74), "x", "up", 1.75), "x", "final", 1.76)
+        for at, late, checks in ((1.0, 0.4, []), (1.0, 0.005, ["too_soon"]), (0.9, 0.4, ["too_soon"])):
+            history = History()
+            history.late.append((at, late))
+            self.assertEqual([broken.check for broken in found(soon, history)], checks)
+
+
 class DrawnTest(unittest.TestCase):
     """Settings of other deployments, and what processes are held to by them."""
 
