Upgrade test: kill the first process once it has handed its connections over, not as it begins

Seen: test_the_first_is_killed_and_the_successor_serves_on failed once beside load: the caller's connection was closed in place of its BYE.

Cause: the test killed the first at successor_takes_connections, which it logs before it hands over anything; a process killed with a connection still its own closes it, and no promise covers that. The promise is that whoever the successor was given lives on.

Change: it awaits successor_has_connections, which follows the handover. As strict and more: a second test stops the successor until after the kill, so that the connection is on its way between the two.

The second one was not seen failing with a guard out.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -5,6 +5,7 @@
 import json
 import os
 import select
+import signal
 import socket
 import tempfile
 import time
@@ -163,13 +164,27 @@
         self.assertEqual(self.program.process.wait(WAIT), 0)
 
     def test_the_first_is_killed_and_the_successor_serves_on(self) -> None:
+        """Promise: whoever the successor was given lives on, though the first is killed at once."""
+        self.first_killed(unread=False)
+
+    def test_the_first_is_killed_with_what_it_gave_unread(self) -> None:
+        """The same with the connection on its way: the successor is stopped until after the kill."""
+        self.first_killed(unread=True)
+
+    def first_killed(self, unread: bool) -> None:
         self.set_up("00000000000000d1")
         self.set_up("00000000000000d3", dest=1)
         second = self.upgrade()
+        if unread:
+            self.addCleanup(second.process.send_signal, signal.SIGCONT)
+            second.process.send_signal(signal.SIGSTOP)
         self.program.terminate()
-        self.program.wait_for("successor_takes_connections")
+        self.program.wait_for("successor_has_connections")  # a kill before closes what was not given yet
         self.assertIsNone(self.program.process.poll())  # it stays while its call stands
         self.program.process.kill()
+        if unread:
+            self.program.process.wait(WAIT)
+            second.process.send_signal(signal.SIGCONT)
         second.wait_for("twin_gone")
         self.feed = self.feed_that_lives()
         self.assertEqual(control_call(self.second_control, "GET", "/stats")[1]["pending"], 2)
