Connect to a log server that drains as it is first named: ends of calls there are told on it

Cause: a new process connected only to log servers that are ready, and replaced a lost link to one that drains only for calls that it knew of; after a restart it knows none. A log server tells a release on an open connection or on the next one opened, and a drain forbids set-ups alone.

Change: a log server is connected to when it is first named, whatever its state, and a link that breaks is opened again while the list has it.

--- a/mallowquay/fronts/platform/servers.py
+++ b/mallowquay/fronts/platform/servers.py
@@ -278,8 +278,7 @@
 
     def _redial_due(self) -> None:
         self._redial = None
-        if self.server.status is ServerStatus.READY or self._owing():
-            self.connect()
+        self.connect()  # to one that drains as well: it tells the ends of calls on the next connection
 
     # --- the connection
 
@@ -500,12 +499,17 @@
         return max(link.opened_at, server.started + START_SLACK)
 
     def named(self, server: Server) -> None:
-        """Connect to each server that is ready, so that its free lines are told."""
+        """Connect to each server that is ready, so that its free lines are told.
+
+        To one that drains as well where it is new here: calls of a process before this one may stand there,
+        and their ends are told on an open connection or on the next one.
+        """
         link = self.links.get(server.id)
+        new = link is None
         if link is None:
             link = self.links[server.id] = Link(self, server)
         link.follow(server)
-        if server.status is ServerStatus.READY:
+        if server.status is ServerStatus.READY or new:
             link.connect()
 
     def closing(self, server: Server) -> None:
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -216,6 +216,23 @@
         self.side.release_stray("end", 16)
         self.assertEqual(await self.line(), ("down", "end"))
 
+    async def test_a_server_that_drains_as_it_is_first_named_tells_the_ends_of_calls_there(self) -> None:
+        """Guards against review case 3: calls of the process before, at a server that drains, stood on."""
+        ended: list[tuple[str, int]] = []
+        self.side.stray_ended = lambda call_id, cause: ended.append((call_id, cause))
+        listener = self.listen()
+        self.told(Server("s1", listener.getsockname(), 1, ServerStatus.DRAINING))
+        self.link = self.side.links["s1"]
+        self.sock = await self.accept(listener)
+        self.say("down", "y")
+        await self.until(lambda: ended == [("y", 16)])
+        self.clock.now += SECOND
+        self.sock.close()  # its connection alone: the next ends come on the next one
+        self.sock = await self.accept(listener)
+        self.say("down", "z")
+        await self.until(lambda: ended == [("y", 16), ("z", 16)])
+        self.assertEqual(self.calls.trying_at("s1"), [])
+
     async def test_a_set_up_whose_time_ran_out_in_the_dial_is_not_sent(self) -> None:
         """`left` says how long the gatekeeper will wait: nothing is sent that nobody waits for."""
         await self.part()
