--- a/mallowquay/membership/catalogue.py
+++ b/mallowquay/membership/catalogue.py
@@ -51,7 +51,7 @@
         told = {server.id for server in instances.servers}
         known = {server.id for server in self._instances.servers}
         missing = known - told
-        if 2 * len(missing) > len(known) and not self._confirmed(now):
+        if 2 * len(missing) > len(known) and not self._doubt_confirmed(now):
             kept = tuple(server for server in self._instances.servers if server.id in missing)
             failing = instances.failing | (self._instances.failing & missing)
             instances, self._missing = Instances(instances.servers + kept, failing), frozenset(missing)
@@ -61,8 +61,8 @@
         self._failing_since = {name: since.get(name, now) for name in instances.failing}
         self._instances = instances
 
-    def _confirmed(self, now: timedelta) -> bool:
-        """Whether this answer, which lacks most of the list, is one too many to be a mistake."""
+    def _doubt_confirmed(self, now: timedelta) -> bool:
+        """Count an answer that lacks most of the list; True once they are too many to be a mistake."""
         before = self._doubt or _Doubt(now, 0)
         self._doubt = replace(before, answers=before.answers + 1)
         enough = self._doubt.answers >= self._rules.confirm_answers
--- a/mallowquay/membership/consul.py
+++ b/mallowquay/membership/consul.py
@@ -24,10 +24,10 @@
 
 Outcome = TypeVar("Outcome")
 
-RETRY_LEAST = timedelta(milliseconds=500)
+RETRY_MIN = timedelta(milliseconds=500)
 QUERY_INTERVAL_MIN = timedelta(milliseconds=200)  # whoever answers without waiting is not asked in a loop
 ANSWER_TIMEOUT = timedelta(seconds=1)  # beyond the wait that a query asks for
-BODY_MOST = 4 * 1024 * 1024
+BODY_MAX = 4 * 1024 * 1024
 WAIT_SLACK = 16  # Consul itself adds up to a sixteenth of the wait
 MAINTENANCE = ("_node_maintenance", "_service_maintenance:")
 
@@ -67,16 +67,16 @@
         config: ConsulConfig,
         unix: UnixTime,
         tell: Callable[[ListTold], None],
-        chance: random.Random,
+        generator: random.Random,
         clock: Clock = monotonic,
     ) -> None:
-        self._config, self._unix, self._tell, self._chance = config, unix, tell, chance
+        self._config, self._unix, self._tell, self._random = config, unix, tell, generator
         self._clock = clock
         self._catalogue = Catalogue(config.rules)
         self._where = "{}:{}".format(*config.address)
-        self._client = AsyncHTTPClient(force_instance=True, max_body_size=BODY_MOST, max_clients=1)
+        self._client = AsyncHTTPClient(force_instance=True, max_body_size=BODY_MAX, max_clients=1)
         self.index = 0
-        self._asked_at = clock()
+        self._asked_at = clock() - QUERY_INTERVAL_MIN
         self._answered_at: timedelta | None = None
         self._last: tuple[Server, ...] | None = None
 
@@ -88,7 +88,7 @@
 
     async def follow(self) -> None:
         """Ask, apply, and ask again from the index told; longer and longer gaps while it fails."""
-        gap = RETRY_LEAST
+        gap = RETRY_MIN
         while True:
             pause = QUERY_INTERVAL_MIN - (self._clock() - self._asked_at)
             try:
@@ -101,12 +101,12 @@
             except Exception as fault:  # whatever an answer has met here: the watch is not given up
                 log.error("consul_fault", exc_info=fault, **ConsulSilent(repr(fault), self._where).told())
             else:
-                gap = RETRY_LEAST
+                gap = RETRY_MIN
                 if self._catalogue.unconfirmed:
                     await self._pause(self._config.rules.confirm / self._config.rules.confirm_answers)
                 continue
             self.index = 0  # the next query answers at once, whatever was missed
-            await self._pause(gap * (0.5 + self._chance.random()))
+            await self._pause(gap * (0.5 + self._random.random()))
             gap = min(2 * gap, self._config.age)
 
     async def _pause(self, span: timedelta) -> None:
--- a/tests/test_crossings_feed.py
+++ b/tests/test_crossings_feed.py
@@ -256,7 +256,7 @@
         where = server.sockets[0].getsockname()
         rules = CatalogueRules(failing=3 * SECOND, confirm=3 * SECOND, confirm_answers=3)
         config = ConsulConfig(where, "log", "", "", 1 * SECOND, rules, age=5 * SECOND)
-        with patch("mallowquay.membership.consul.RETRY_LEAST", timedelta(milliseconds=10)):
+        with patch("mallowquay.membership.consul.RETRY_MIN", timedelta(milliseconds=10)):
             task = asyncio.ensure_future(Consul(config, UnixTime(), tell, random.Random(1)).follow())
             for _ in range(5):
                 self.assertIn(b"index=0", await asyncio.wait_for(asked.get(), WAIT))
