Consul: after a first fault it is asked again at once, so that age_ms is the bound that it says

Seen by reading: a silent query ended at age_ms, and the next one left up to 0.75 s later, so the list was older than the page says.

Change: the pause begins with the second fault in a row; two queries are 0.2 s apart at least, as before.

--- a/mallowquay/membership/consul.py
+++ b/mallowquay/membership/consul.py
@@ -87,8 +87,12 @@
         return {"list_age_ms": age, "list_unconfirmed": self._catalogue.unconfirmed}
 
     async def follow(self) -> None:
-        """Ask, apply, and ask again from the index told; longer and longer gaps while it fails."""
-        gap = RETRY_MIN
+        """Ask, apply, and ask again from the index told.
+
+        After the first fault it is asked again at once, as the list is as old as it may be; then after longer
+        and longer gaps.
+        """
+        gap = timedelta(0)
         while True:
             pause = QUERY_INTERVAL_MIN - (self._clock() - self._asked_at)
             try:
@@ -101,13 +105,13 @@
             except Exception as fault:  # whatever an answer has met here: the watch is not given up
                 log.error("consul_fault", exc_info=fault, **ConsulSilent(repr(fault), self._where).told())
             else:
-                gap = RETRY_MIN
+                gap = timedelta(0)
                 if self._catalogue.unconfirmed:
                     await self._pause(self._config.rules.confirm / self._config.rules.confirm_answers)
                 continue
             self.index = 0  # the next query answers at once, whatever was missed
             await self._pause(gap * (0.5 + self._random.random()))
-            gap = min(2 * gap, self._config.age)
+            gap = min(max(2 * gap, RETRY_MIN), self._config.age)
 
     async def _pause(self, span: timedelta) -> None:
         try:
