Module: a timer for probing a silent log server does nothing once the list has taken it out

The decisions of that turn are lost; the guard still answers each call.

Cause: _probe_silent took its log server as still listed. Every other timer looks up what may have gone.

Change: it does nothing then. A property draws events in any order, timers late or repeated: nothing is raised, and each call has one answer.

--- a/quincestand/logic.py
+++ b/quincestand/logic.py
@@ -544,8 +544,8 @@
             self._timer(self.random.randrange(self.probe_gap), self._probe_silent, view.entry.server)
 
     def _probe_silent(self, now: int, server: ServerId) -> None:
-        view = self.servers[server]
-        if view.silent and view.usable():
+        view = self.servers.get(server)
+        if view is not None and view.silent and view.usable():
             self.actions.append(Probe(server))
             self._timer(self.probe_gap, self._probe_silent, server)
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from dataclasses import replace
 
 from conftest import MS, SECOND, SETTINGS, Gateway
@@ -12,6 +13,7 @@
     Fail,
     ListKind,
     Outcome,
+    Probe,
     Refuse,
     Send,
     ServerReport,
@@ -156,6 +158,114 @@
     assert not gateway.of(Send)
 
 
+def test_a_silent_server_that_goes_while_it_is_probed_leaves_its_timer_without_a_fault(gateway):
+    """Guards against a KeyError of the timer whose server the list has taken out meanwhile."""
+    gateway.offer()
+    gateway.ended("a", Outcome.CONNECT_FAILED)
+    gateway.list(gateway.entry("a", 0, ServerState.GONE), kind=ListKind.CHANGES)
+    assert not gateway.run_timers(20 * SECOND, Probe)
+
+
+class World:
+    """Calls, attempts and timers of a gateway whose events come in an order drawn at will."""
+
+    def __init__(self) -> None:
+        self.gateway = Gateway(servers=("a", "b", "c"))
+        self.out: dict[int, tuple[int, str]] = {}  # by call: attempt and server
+        self.owed: set[int] = set()
+        self.answers: Counter[int] = Counter()
+        self.timers: list[tuple[int, int]] = []  # when it is due, and its token
+        self.attempts: Counter[int] = Counter()
+
+    def carry_out(self, actions: list) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                assert action.call in self.owed and action.call not in self.out
+                self.out[action.call] = (self.attempts[action.call], action.server)
+                self.attempts[action.call] += 1
+            elif isinstance(action, (Refuse, Fail)):
+                self.answers[action.call] += 1
+                self.owed.discard(action.call)
+            elif isinstance(action, SetTimer):
+                self.timers.append((self.gateway.now + action.delay, action.token))
+
+    def offer(self, number: int) -> None:
+        self.owed.add(self.gateway.next_call + 1)
+        self.carry_out(self.gateway.offer(kind=number % 2, dest=number % 3, called=number % 5))
+
+    def answer(self, number: int) -> None:
+        if not self.out:
+            return
+        call = sorted(self.out)[number % len(self.out)]
+        attempt, server = self.out.pop(call)
+        outcome = OUTCOMES[number % len(OUTCOMES)] if call in self.owed else Outcome.CANCELLED
+        if outcome is None:
+            self.answers[call] += 1
+            self.owed.discard(call)
+            self.carry_out(self.gateway.stands(server, call=call, attempt=attempt))
+        else:
+            closed = call not in self.owed
+            ended = self.gateway.ended(server, outcome, call=call, attempt=attempt, full=True, closed=closed)
+            self.carry_out(ended)
+
+    def leave(self, number: int) -> None:
+        if self.owed:
+            call = sorted(self.owed)[number % len(self.owed)]
+            self.owed.remove(call)
+            self.answers[call] += 1  # none is owed any more
+            self.carry_out(self.gateway.handle(CallerGone(call)))
+
+    def tell_list(self, number: int) -> None:
+        name, state = "abc"[number % 3], list(ServerState)[number // 3 % 3]
+        boot = self.gateway.now if number % 2 else 0
+        entry = self.gateway.entry(name, number % 3, state, boot)
+        kind = ListKind.FULL if number % 7 == 0 else ListKind.CHANGES
+        self.carry_out(self.gateway.list(entry, kind=kind))
+
+    def report(self, number: int) -> None:
+        event = ServerReport("abcd"[number % 4], bool(number % 2), bool(number % 3), ())
+        self.carry_out(self.gateway.handle(event))
+
+    def pass_time(self, number: int) -> None:
+        self.gateway.passes(number % 3000 * MS)
+
+    def timer(self, number: int) -> None:
+        """Any that was set, however late it is by then, or once more."""
+        if self.timers:
+            due, token = self.timers[number % len(self.timers)]
+            self.gateway.now = max(self.gateway.now, due)
+            self.carry_out(self.gateway.handle(TimerDue(token)))
+
+    def end(self) -> None:
+        """Whatever is out runs out of time, and each timer that was set goes off."""
+        for _ in range(20):
+            while self.out:
+                call, (attempt, server) = self.out.popitem()
+                closed = call not in self.owed
+                self.carry_out(self.gateway.ended(server, Outcome.TIMEOUT, call, attempt, closed))
+            self.gateway.passes(SECOND)
+            tokens, self.timers = self.timers, []
+            for due, token in tokens:
+                self.gateway.now = max(self.gateway.now, due)
+                self.carry_out(self.gateway.handle(TimerDue(token)))
+
+
+STEPS = (World.offer, World.answer, World.leave, World.tell_list, World.report, World.pass_time, World.timer)
+STEP = strategies.tuples(strategies.sampled_from(STEPS), strategies.integers(0, 9999))
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(strategies.lists(STEP, min_size=30, max_size=60))
+def test_events_in_any_order_raise_nothing_and_each_call_has_one_answer(steps):
+    """Guards against timers whose call, server or list has gone, and against a second or a missing answer."""
+    world = World()
+    for step, number in steps:
+        step(world, number)
+    world.end()
+    assert not world.owed
+    assert all(world.answers[call] == 1 for call in range(1, world.gateway.next_call + 1))
+
+
 OUTCOMES = [
     Outcome.FULL,
     Outcome.TIMEOUT,
