Ports are ASCII digits, and a line of a log server with an id that is no ASCII is unreadable

Seen (by the review, by reading; here by fuzz): a Contact with a superscript digit as port raised ValueError past the front's handlers, and a log server's down with a lone surrogate as id UnicodeEncodeError, after which its link was read no more until its next word was missed.

Cause: str.isdigit is true of digits that int refuses, and int refuses more than 4,300 digits; an id was looked at for type and length alone.

Change: one function reads ports, of Via and of URIs: at most five ASCII digits. An id that is not ASCII makes its line unreadable, which costs its connection.

--- a/mallowquay/fronts/platform/servers.py
+++ b/mallowquay/fronts/platform/servers.py
@@ -613,7 +613,7 @@
                 self.calls.load_told(link.server.id, load)
         elif kind == "hb_ok":
             link.passed(ref if isinstance(ref, str) else "", said.get("c") == PASSED, load)
-        elif not isinstance(ref, str) or len(ref) > ID_MOST:
+        elif not isinstance(ref, str) or not ref.isascii() or len(ref) > ID_MOST:
             raise Unreadable(f"{kind} without an id")
         elif kind == "up":
             self._up(link, ref, read_description(said.get("d")), load)
--- a/mallowquay/fronts/sip/transport.py
+++ b/mallowquay/fronts/sip/transport.py
@@ -44,6 +44,7 @@
 Reached = Callable[["Connection | Ending"], None]
 DATAGRAMS_AT_ONCE = 64  # then other work gets its turn
 DEFAULT_PORT = 5060
+PORT_DIGITS = 5
 WAITING_MOST = 256  # messages kept while a connection comes up
 DIALS_KEPT = 16  # places beyond those of callers, for what calls need; of settings.SOCKETS_KEPT
 NEW_FOR = timedelta(milliseconds=300)  # a connection's first request may be on its way
@@ -540,8 +541,16 @@
 
 def sent_by_port(via: str) -> int:
     """The port of a Via's sent-by."""
-    _, _, port = via.partition(";")[0].strip().rpartition(":")
-    return int(port) if port.isascii() and port.isdigit() and 0 < int(port) < 65536 else DEFAULT_PORT
+    _, _, text = via.partition(";")[0].strip().rpartition(":")
+    return port_of(text) or DEFAULT_PORT
+
+
+def port_of(text: str) -> int | None:
+    """The port that a text names in ASCII digits; None for any other text, or one out of range."""
+    if not text.isascii() or not text.isdigit() or len(text) > PORT_DIGITS:
+        return None
+    port = int(text)
+    return port if 0 < port < 65536 else None
 
 
 def stamped(headers: list[Header], hop: Hop) -> list[Header]:
@@ -571,6 +580,7 @@
         socket.inet_aton(host)
     except OSError:
         return None  # there is no DNS
-    if transport not in OTHER or (port and not (port.isdigit() and 0 < int(port) < 65536)):
+    number = port_of(port) if port else DEFAULT_PORT
+    if transport not in OTHER or number is None:
         return None
-    return Hop(transport, (host, int(port) if port else DEFAULT_PORT))
+    return Hop(transport, (host, number))
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -5,9 +5,11 @@
 import asyncio
 import errno
 import json
+import random
 import socket
 import struct
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from unittest.mock import patch
 
@@ -18,7 +20,7 @@
 from mallowquay.core.model import Ending, ListTold, Presence, Server, ServerStatus, Verdict
 from mallowquay.fronts.platform import servers as module
 from mallowquay.fronts.platform.rhythm import Rhythm
-from mallowquay.fronts.platform.servers import PlatformServers
+from mallowquay.fronts.platform.servers import PlatformServers, Unreadable
 
 
 class Crossings(CoreCase):
@@ -233,6 +235,25 @@
         await self.until(lambda: ended == [("y", 16), ("z", 16)])
         self.assertEqual(self.calls.trying_at("s1"), [])
 
+    async def test_whatever_a_line_holds_it_is_taken_or_unreadable(self) -> None:
+        """Guards against a line that raises past the handler of its connection, which then reads no more."""
+        dice = random.Random(1)
+        self.side.stray_ended = lambda call_id, cause: call_id.encode()  # as it is written to a caller
+        values = [None, True, 0, -1, 16, 10**30, 1.5, "", "a", "x" * 70, "\ud800", "\u00b2", "16", [], {},
+                  [[]], {"load": "x0:1"}, {"load": "x0:\u00b2;x1:-"}, {"load": 3}, {"note": []},
+                  {"note": "ovl"}]  # fmt: skip
+        kinds = ["up", "down", "gauge", "hb_ok", "ack", "wait", "", None, 3]
+        for number in range(4000):
+            if number % 50 == 0 and self.calls.get("a") is None:
+                self.offer("a")
+            line = {key: dice.choice(values) for key in ("ref", "f", "c", "d") if dice.random() < 0.9}
+            message = {"t": dice.choice(kinds), **line}
+            said = json.dumps(message if dice.random() < 0.95 else dice.choice(values))
+            with suppress(Unreadable):
+                self.side.take(self.link, said.encode())
+            with suppress(Unreadable):
+                self.side.take(self.link, dice.randbytes(3) + said.encode()[dice.randrange(9) :])
+
     async def test_a_set_up_whose_time_ran_out_in_the_dial_is_not_sent(self) -> None:
         """`left` says how long the gatekeeper will wait: nothing is sent that nobody waits for."""
         await self.part()
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -82,6 +82,16 @@
             except BadMessage:
                 pass
 
+    def test_no_address_raises(self) -> None:
+        """Guards against a port of digits that are no numbers, which raised past the front's handlers."""
+        dice = random.Random(1)
+        for port in ("\u00b2", "\u0661", "5060\u00b2", "0", "65536", "-1", "9" * 5000):
+            self.assertIsNone(hop_of(f"sip:a@127.0.0.1:{port}", "udp"), port)
+        for _ in range(5000):
+            text = "".join(dice.choices("sip:@127.0.0.1;=\u00b2\u0661<>,transport9 ", k=dice.randrange(40)))
+            hop_of("sip:" + text, dice.choice(["udp", "tcp"]))
+            split_values([text]), parameter(text, "tag"), q850_cause(text, 16), user_of(text), read_load(text)
+
     def test_values(self) -> None:
         self.assertEqual(split_values(['<sip:a,b>, "x" <sip:c>', "d"]), ["<sip:a,b>", '"x" <sip:c>', "d"])
         self.assertEqual((q850_cause("Q.850;cause=41", 16), q850_cause("SIP", 16)), (41, 16))
