--- a/review/parts/platform.py
+++ b/review/parts/platform.py
@@ -21,7 +21,7 @@
         "extra": {
             "circuitsByClass": [1 for _ in classes], "layout": "pools", "meanHold": [10_500_000 for _ in classes],
             "release": 300_000, "remoteLoad": "piggyback", "repeat": 0, "retryHint": False, "routeAdvice": False,
-            "selfNo": -1, "skilledPools": [[0, 1] for _ in classes],
+            "selfNo": -1, "skilledPools": [[0, 1, 2] for _ in classes],
         },
         "goal": {"whole": 0.4, "worstClass": 0.2, "worstTenant": 0.0, "worstWindow": 0.4},
         "groupSize": gatekeepers, "kinds": ["small-1core"],
