Review, cases 6 to 10: a fault of a script exits with 2; one told to end cleans up

Cause: an exception ahead of the play, as for a missing package, would have exited with 1, as a broken rule does, and a script that was told to end left its gatekeeper behind.

Change: run.sh makes 1 of the one code that stands for a broken rule and 2 of all others; signals end what was started.

--- a/review/parts/stage.py
+++ b/review/parts/stage.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
-BROKEN, HELD, NOT_RUN = 1, 0, 2
+BROKEN, HELD, NOT_RUN = 10, 0, 2  # run.sh makes 1 of the first
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LONGEST = 115.0  # seconds; a case that takes longer has not run
 
@@ -51,7 +51,7 @@
         self.began = time.time()
         self.folder = Path(tempfile.mkdtemp(prefix="mallowquay-case-"))
         self._record = open(folder / "record.txt", "w", encoding="utf-8", buffering=1)
-        self._lock = threading.Lock()
+        self._lock = threading.RLock()
         self._processes: list[subprocess.Popen[bytes]] = []
         self.note("case", f"TROUBLE={int(TROUBLE)}")
 
@@ -83,13 +83,6 @@
         self.note(name, f"started: {run} {arguments}".rstrip())
         return process
 
-    def spawn(self, name: str, command: list[str], **environment: str) -> subprocess.Popen[bytes]:
-        """A stand-in as a process of its own."""
-        process = subprocess.Popen(command, cwd=ROOT, env={**os.environ, **environment}, stdin=subprocess.DEVNULL)
-        self._processes.append(process)
-        self.note(name, f"started: {' '.join(command[1:])}")
-        return process
-
     def wait_until_serves(self, process: subprocess.Popen[bytes], within: float = 30.0) -> None:
         """Until its log says so."""
         end = time.monotonic() + within
@@ -111,19 +104,19 @@
 
 
 def play(case: str, judge) -> None:  # type: ignore[no-untyped-def]
-    """Run a case: `judge(stage)` returns the breaks of the rule that it saw. Exits 0, 1 or 2."""
+    """Run a case: `judge(stage)` returns the breaks of the rule that it saw. Ends the process."""
     stage = Stage(Path(case).resolve().parent)
 
-    def too_long() -> None:
-        stage.note("case", "took too long: not run")
-        for process in stage._processes:
-            if process.poll() is None:
-                process.kill()
+    def abandon(why: str) -> None:
+        stage.note("case", f"not run: {why}")
+        stage.end()
         os._exit(NOT_RUN)
 
-    watchdog = threading.Timer(LONGEST, too_long)
+    watchdog = threading.Timer(LONGEST, abandon, ["it took too long"])
     watchdog.daemon = True
     watchdog.start()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: abandon("told to end"))
     code = NOT_RUN
     try:
         breaks = judge(stage)
