--- a/review/parts/stage.py
+++ b/review/parts/stage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import shutil
 import signal
 import socket
@@ -24,17 +25,16 @@
     """The case could not be played; this says nothing of the rule."""
 
 
-def free_port(*kinds: socket.SocketKind) -> int:
-    """A port that nothing uses now, for TCP and UDP."""
-    for _ in range(200):
-        with socket.socket() as tcp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
-            try:
-                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                    udp.bind(("127.0.0.1", port))
-            except OSError:
-                continue
+def free_port() -> int:
+    """A port that nothing uses now, for TCP and UDP, below those that the system gives to outgoing connections."""
+    for _ in range(500):
+        port = random.SystemRandom().randrange(12_000, 30_000)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as sock:
+                    sock.bind(("127.0.0.1", port))
+        except OSError:
+            continue
         if port not in _given:
             _given.add(port)
             return port
