--- a/review/parts/proxy.py
+++ b/review/parts/proxy.py
@@ -19,7 +19,7 @@
 ENDPOINTS = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
 UNKNOWN, HEALTHY = 0, 1
 OPTIONS = [
-    ("grpc.use_local_subchannel_pool", 1), ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.use_local_subchannel_pool", 1), ("grpc.enable_http_proxy", 0), ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100), ("grpc.max_reconnect_backoff_ms", 300),
 ]  # fmt: skip
 
