--- a/review/8/case.py
+++ b/review/8/case.py
@@ -32,7 +32,7 @@
 
 async def run(stage: Stage) -> list[str]:
     ads, own = free_port(), free_port()
-    ports = {name: free_port() for name in ("log-1", "log-2", "log-3")}
+    ports = {name: free_port() for name in ("log-1", "log-2", "log-3", "log-4")}
     names = {port: name for name, port in ports.items()}
     loop = asyncio.get_running_loop()
     told: list[float] = []  # the service was told of a list without log-2
@@ -69,13 +69,13 @@
         loop.create_task(proxy.follow())
         loop.create_task(proxy.place_calls())
     await asyncio.sleep(2.0)
-    if any(len(proxy.ready) != 3 for proxy in proxies):
+    if any(len(proxy.ready) != len(ports) for proxy in proxies):
         raise CannotRun("the proxies do not have the list")
     list_is(maintained="log-1")  # an ordinary drain and its end, as there was one some time before
     await asyncio.sleep(1.5)
     list_is()
     await asyncio.sleep(1.5)
-    if any(len(proxy.ready) != 3 for proxy in proxies):
+    if any(len(proxy.ready) != len(ports) for proxy in proxies):
         raise CannotRun("the proxies do not have the list after a drain")
     if TROUBLE:
         stage.note("service", "SIGTERM: a planned restart")
