Review: a log server that hangs for 5 s leaves its callers with calls that are over

Cause: a connection that misses words is closed unread, again and again; the log server tells ends on the first two, which are closed by then, and owes nothing on the one that is up.

Change: case and stand-in process in review/ only.

--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import random
 import shutil
@@ -24,6 +25,7 @@
 from pathlib import Path
 from typing import Any
 
+logging.getLogger("asyncio").setLevel(logging.ERROR)  # writes on connections that the far end has closed
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -431,6 +433,51 @@
             self.listener.close()
 
 
+class LogServerProcess:
+    """The same in a process of its own, which can be stopped and continued."""
+
+    def __init__(self, record: Record, number: int, hold: float) -> None:
+        self.record, self.number, self.name, self.hold = record, number, f"log-{number}", hold
+        self.like = LogServer(record, number)  # its place in the list; it does not listen
+        self.port = self.like.port
+        self.ended: dict[str, float] = {}
+        self.listens = asyncio.Event()
+
+    def entry(self) -> dict[str, Any]:
+        """As `known` has it."""
+        return self.like.entry()
+
+    async def start(self) -> None:
+        """Until it listens."""
+        here = str(Path(__file__).resolve().parent)
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, f"{here}/logserver.py", str(self.number), str(self.port), str(self.hold),
+            str(self.record.zero), stdout=asyncio.subprocess.PIPE, stdin=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+        self.reading = asyncio.ensure_future(self._read())
+        await asyncio.wait_for(self.listens.wait(), 20)
+
+    async def _read(self) -> None:
+        assert self.process.stdout is not None
+        while line := await self.process.stdout.readline():
+            at, who, what, call, text = json.loads(line)
+            self.record.add(who, what, call, f"{text} (its clock: {at:.4f})".strip())
+            if what == "ends":
+                self.ended[call] = at
+            self.listens.set()
+
+    def signal(self, number: int) -> None:
+        """Stop or continue it."""
+        self.record.add(self.name, signal.Signals(number).name)
+        self.process.send_signal(number)
+
+    def end(self) -> None:
+        """The run is over."""
+        with suppress(ProcessLookupError):
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+
+
 # --- the coordinator
 
 
--- a/review/standins-2/sipkit.py
+++ b/review/standins-2/sipkit.py
@@ -165,6 +165,12 @@
             await asyncio.sleep(gap)
             gap *= 2
 
+    def bye(self, call: SipCall) -> None:
+        """End a standing call, once: for a test that asks no more of it."""
+        self.record.add(self.name, "BYE", call.id[:16])
+        headers = self.headers(call, "BYE", 2, f"z9hG4bK{token()}")
+        self.send(write(f"BYE {call.target} SIP/2.0", headers), address_of(call.target))
+
     def heard(self, message: Message, address: Address) -> None:
         call = self.calls.get(message["Call-ID"])
         if call is None:
@@ -209,7 +215,9 @@
         super().__init__()
         self.record, self.name, self.number = record, name, number
         self.delay, self.hold = 0.02, 8.0
-        self.status = 200
+        self.dead = False
+        self.trying = 0.0  # seconds until it sends 100, if it has not answered by then (RFC 3261: 200 ms)
+        self.status, self.lines = 200, 100
         self.seen: dict[str, Message] = {}  # INVITEs by Call-ID
         self.got: list[tuple[float, str]] = []
         self.standing: dict[str, tuple[Message, Address, str]] = {}
@@ -239,8 +247,10 @@
             self.numbers[call] = message.first.split(" ")[1].partition(":")[2].partition("@")[0]
             at = self.record.add(self.name, "INVITE", self.numbers[call])
             self.got.append((at, self.numbers[call]))
-            self.answers[branch] = response(message, 100)
-            self.send(self.answers[branch], address)
+            if self.trying:
+                asyncio.get_running_loop().call_later(self.trying, self.progress, call, message, address)
+            else:
+                self.progress(call, message, address)
             asyncio.get_running_loop().call_later(self.delay, self.answer, call, message, address)
             self.out[call] = at
         elif message.method == "ACK":
@@ -260,6 +270,12 @@
         elif message.method == "OPTIONS":
             self.send(response(message, 200), address)
 
+    def progress(self, call: str, message: Message, address: Any) -> None:
+        """100, where nothing has been answered yet."""
+        if message["Via"] not in self.answers and call in self.seen:
+            self.answers[message["Via"]] = response(message, 100)
+            self.send(self.answers[message["Via"]], address)
+
     def done(self, call: str) -> None:
         """The attempt is out no more: answered, or given up by a CANCEL."""
         if call in self.out:
@@ -267,7 +283,7 @@
 
     def answer(self, call: str, message: Message, address: Address) -> None:
         """The final answer."""
-        if call not in self.seen:
+        if call not in self.seen or self.dead:
             return
         tag = token()
         self.done(call)
@@ -277,8 +293,9 @@
             self.send(self.answers[message["Via"]], address)
             return
         contact = ("Contact", f"<sip:log@127.0.0.1:{self.port}>")
+        load = ("P-Load", f"x0:{self.lines - len(self.standing)};x1:{self.lines}")
         body = f"{self.numbers[call]} at {self.name}"
-        data = self.answers[message["Via"]] = response(message, 200, tag, contact, body=body)
+        data = self.answers[message["Via"]] = response(message, 200, tag, contact, load, body=body)
         self.standing[call] = (message, address, tag)
         self._again(call, data, address, 0.5)
         if self.hold:
@@ -318,6 +335,7 @@
 
     def die(self) -> None:
         """As a process does: nobody listens there, and all its calls are cut."""
+        self.dead = True
         at = self.record.add(self.name, "process ends", "", f"{len(self.standing)} calls are cut")
         for call in self.standing:
             self.cut[call] = at
