--- a/review/8/case.py
+++ b/review/8/case.py
@@ -41,7 +41,8 @@
 
     ended = {call: at for server in (hangs, *others) for call, at in server.ended.items()}
     stood = [call for call in calls if call.stands]
-    over = [call for call in stood if call.id in ended]
+    until = case.record.now() - BOUND  # of what has ended later its release may still come in time
+    over = [call for call in stood if ended.get(call.id, until) < until]
     left = [call for call in over if call.released_at is None or call.released_at > ended[call.id] + BOUND]
     for call in left:
         case.record.add("judge", "left standing", call.id)
--- a/review/parts/kit.py
+++ b/review/parts/kit.py
@@ -106,7 +106,8 @@
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         tmp = folder / f"tmp-{name}"
         tmp.mkdir(exist_ok=True)
-        env = {**os.environ, "LB_NAME": name, "LB_LISTEN": document["listen"], "LB_CONFIG": str(self.file),
+        outside = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
+        env = {**outside, "LB_NAME": name, "LB_LISTEN": document["listen"], "LB_CONFIG": str(self.file),
                "TMPDIR": str(tmp), **(environment or {})}  # fmt: skip
         self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=env, stdout=self.log,
                                         stderr=self.log, pass_fds=descriptors)  # fmt: skip
